--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be filled in.
--- /dev/null
+++ b/components/request/src/action.rs
@@ -0,0 +1,73 @@
+//! What the state machine of requests asks for.
+
+use std::time::Duration;
+
+use platform::TableRequest;
+use types::RefusalReason;
+use types::Reply;
+use types::RequestId;
+use types::ServiceName;
+use types::TargetName;
+use types::Usage;
+use wire::ToAgent;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Whole answer relayed.
+    Answered,
+    /// Refused.
+    Refused(RefusalReason),
+    /// The caller hung up.
+    Abandoned,
+}
+
+/// Figures of a request that has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Summary {
+    /// Service addressed.
+    pub service: ServiceName,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Targets tried, in order.
+    pub targets: Vec<TargetName>,
+    /// Time from acceptance to the first byte.
+    pub first_byte_ms: Option<Duration>,
+    /// Time from acceptance to the end.
+    pub total_ms: Duration,
+    /// Tokens used.
+    pub usage: Usage,
+}
+
+/// One action.
+#[derive(Debug)]
+pub enum Action {
+    /// Hand a part of the answer to the caller.
+    Reply {
+        /// Request concerned.
+        request: RequestId,
+        /// Next part.
+        reply: Reply,
+    },
+    /// Send a message to the agent of a target.
+    Send {
+        /// Target concerned.
+        target: TargetName,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Call the table and report its end with the same number.
+    Table {
+        /// Number of the call.
+        operation: u64,
+        /// The call.
+        request: TableRequest,
+    },
+    /// The request has ended; nothing is kept of it.
+    Settled {
+        /// Request concerned.
+        request: RequestId,
+        /// Its figures.
+        summary: Summary,
+    },
+}
--- /dev/null
+++ b/components/types/src/lib.rs
@@ -0,0 +1,54 @@
+//! Data shared by every component: ids, time, profiles, targets, orders, work and load.
+//!
+//! Nothing here does I/O or holds state. A type lives in this crate only when at least two
+//! components exchange it.
+
+pub mod change;
+pub mod clock;
+pub mod ids;
+pub mod load;
+pub mod order;
+pub mod profile;
+pub mod reply;
+pub mod service;
+pub mod target;
+pub mod work;
+
+pub use change::Change;
+pub use change::ChangeBody;
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use clock::SystemClock;
+pub use ids::AttemptId;
+pub use ids::CallerName;
+pub use ids::FencingNumber;
+pub use ids::HostName;
+pub use ids::Incarnation;
+pub use ids::OrderNumber;
+pub use ids::Place;
+pub use ids::ProfileName;
+pub use ids::RequestId;
+pub use ids::Revision;
+pub use ids::ServiceName;
+pub use ids::TargetName;
+pub use load::CacheEvent;
+pub use load::LoadReport;
+pub use order::Order;
+pub use order::OrderKind;
+pub use profile::KeylessPolicy;
+pub use profile::Profile;
+pub use profile::ProfileError;
+pub use reply::Refusal;
+pub use reply::RefusalReason;
+pub use reply::Reply;
+pub use reply::RunState;
+pub use reply::Usage;
+pub use service::Service;
+pub use service::ServiceKind;
+pub use target::Loaded;
+pub use target::Role;
+pub use target::Target;
+pub use target::TargetState;
+pub use work::Method;
+pub use work::Submission;
+pub use work::Work;
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,34 @@
+//! Protocol between the processes of the system.
+//!
+//! Entries open TCP connections to agents and to other entries, and exchange UDP datagrams
+//! with both. Every frame and datagram is encoded with `postcard`, carries a version, a key id
+//! and a keyed MAC, and is limited in length before anything is allocated for it.
+
+pub mod answer;
+pub mod datagram;
+pub mod error;
+pub mod frame;
+pub mod keys;
+pub mod liveness;
+pub mod message;
+
+pub use answer::AnswerDigest;
+pub use answer::Digest;
+pub use datagram::Datagram;
+pub use error::WireError;
+pub use frame::FrameReader;
+pub use frame::FrameWriter;
+pub use frame::MAX_FRAME_BYTES;
+pub use keys::Key;
+pub use keys::Keyring;
+pub use liveness::Liveness;
+pub use message::Dispatch;
+pub use message::ForbidOutcome;
+pub use message::Hello;
+pub use message::Rejection;
+pub use message::ToAgent;
+pub use message::ToEntry;
+pub use message::ToPeer;
+
+/// Version of the protocol; a process refuses connections of another one.
+pub const PROTOCOL_VERSION: u16 = 1;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of chervilspool.
+
+fn main() {}
