--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -1,1 +1,4 @@
-//! To be filled in.
+//! Fakes in virtual time for randomised runs and policy measurement. Never shipped.
+
+pub mod engine;
+pub mod table;
--- /dev/null
+++ b/components/fakes/src/table.rs
@@ -0,0 +1,1 @@
+//! Table in virtual time, with outages, slow and lost replies.
--- /dev/null
+++ b/components/standin/src/engine.rs
@@ -0,0 +1,1 @@
+//! Stand-in of a model engine over HTTP.
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -1,1 +1,6 @@
-//! To be filled in.
+//! Stand-ins for everything outside the system, for tests and the demo. Never shipped.
+
+pub mod engine;
+pub mod forwarder;
+pub mod plain;
+pub mod platform;
--- /dev/null
+++ b/components/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts one stand-in.
+
+fn main() {}
--- /dev/null
+++ b/components/standin/src/plain.rs
@@ -0,0 +1,1 @@
+//! Stand-in of a plain service over HTTP.
