--- /dev/null
+++ b/components/platform/src/memory_services.rs
@@ -0,0 +1,143 @@
+//! Object store, weight store and host list in memory.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use types::Clock;
+
+use crate::PlatformError;
+use crate::PlatformFuture;
+use crate::hosts::HostEntry;
+use crate::hosts::HostList;
+use crate::objects::ObjectStore;
+use crate::weights::WeightStore;
+
+/// Object store in memory.
+#[derive(Debug, Default)]
+pub struct MemoryObjectStore {
+    objects: RefCell<BTreeMap<String, Vec<u8>>>,
+    outage: Cell<bool>,
+}
+
+impl MemoryObjectStore {
+    /// An empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_outage(&self, outage: bool) {
+        self.outage.set(outage);
+    }
+
+    fn with<T>(
+        &self,
+        call: impl FnOnce(&mut BTreeMap<String, Vec<u8>>) -> T,
+    ) -> Result<T, PlatformError> {
+        if self.outage.get() {
+            return Err(PlatformError::Unavailable("outage".to_owned()));
+        }
+        Ok(call(&mut self.objects.borrow_mut()))
+    }
+}
+
+impl ObjectStore for MemoryObjectStore {
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> PlatformFuture<'a, ()> {
+        Box::pin(async move {
+            self.with(|objects| {
+                objects.insert(key.to_owned(), bytes);
+            })
+        })
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move { self.with(|objects| objects.get(key).cloned()) })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, ()> {
+        Box::pin(async move {
+            self.with(|objects| {
+                objects.remove(key);
+            })
+        })
+    }
+}
+
+/// Weight store that grants one load per interval.
+pub struct MemoryWeightStore {
+    clock: Rc<dyn Clock>,
+    interval_ms: Duration,
+    free_at: Cell<Option<Instant>>,
+}
+
+impl MemoryWeightStore {
+    /// A store that grants one load every `interval_ms`.
+    #[must_use]
+    pub fn new(clock: Rc<dyn Clock>, interval_ms: Duration) -> Self {
+        Self {
+            clock,
+            interval_ms,
+            free_at: Cell::new(None),
+        }
+    }
+}
+
+impl WeightStore for MemoryWeightStore {
+    fn reserve<'a>(
+        &'a self,
+        _model: &'a str,
+        _version: &'a str,
+    ) -> PlatformFuture<'a, Option<Duration>> {
+        let now = self.clock.now();
+        let wait = self
+            .free_at
+            .get()
+            .map(|at| at.saturating_duration_since(now))
+            .filter(|wait| !wait.is_zero());
+        if wait.is_none() {
+            self.free_at.set(Some(now + self.interval_ms));
+        }
+        Box::pin(async move { Ok(wait) })
+    }
+}
+
+/// Host list that says what it is told.
+#[derive(Debug, Default)]
+pub struct MemoryHostList {
+    hosts: RefCell<Vec<HostEntry>>,
+    outage: Cell<bool>,
+}
+
+impl MemoryHostList {
+    /// An empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the list.
+    pub fn set(&self, hosts: Vec<HostEntry>) {
+        *self.hosts.borrow_mut() = hosts;
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_outage(&self, outage: bool) {
+        self.outage.set(outage);
+    }
+}
+
+impl HostList for MemoryHostList {
+    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>> {
+        Box::pin(async move {
+            if self.outage.get() {
+                return Err(PlatformError::Unavailable("outage".to_owned()));
+            }
+            Ok(self.hosts.borrow().clone())
+        })
+    }
+}
