--- a/components/types/src/change.rs
+++ b/components/types/src/change.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DisplayFromStr;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
@@ -73,7 +74,9 @@
     pub by: String,
     /// Why, for people.
     pub reason: String,
-    /// Unique to the write, to recognise it when its reply is lost.
+    /// Unique to the write, to recognise it when its reply is lost. Text in JSON, because
+    /// `serde_json::Value` and most JSON readers hold no 128-bit numbers.
+    #[serde_as(as = "DisplayFromStr")]
     pub token: u128,
     /// What changed.
     pub body: ChangeBody,
