--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -235,7 +235,8 @@
 pub enum ToPeer {
     /// Opens the connection.
     Hello(Hello),
-    /// Asks for all changes after a revision; 0 asks for a snapshot.
+    /// Asks for all changes after a revision; 0 asks for a snapshot. The answer may be a
+    /// snapshot in both cases.
     ChangesAfter(Revision),
     /// Changes in order, as JSON records of the change log.
     Changes {
@@ -244,4 +245,15 @@
         /// JSON of each `Change`.
         records: Vec<String>,
     },
+    /// One part of a snapshot; a snapshot may be longer than one frame allows.
+    Snapshot {
+        /// Revision of the snapshot.
+        head: Revision,
+        /// Position of this part, from 0.
+        part: u32,
+        /// Number of parts.
+        parts: u32,
+        /// JSON of one `Change` for each item, in order of revision.
+        records: Vec<String>,
+    },
 }
