--- /dev/null
+++ b/components/control/src/audit.rs
@@ -0,0 +1,67 @@
+//! Reader of the audit trail, which is the change log.
+
+use platform::PlatformError;
+use platform::Table;
+use platform::TableReply;
+use platform::TableRequest;
+use types::Change;
+use types::Revision;
+
+use crate::keys;
+use crate::rows::Head;
+use crate::rows::RowError;
+use crate::rows::decode;
+
+/// Records read with one call.
+const READ_ROWS: u64 = 100;
+
+/// Reads records of the log, newest first: at most `limit` with a revision below `before`, or
+/// from the latest one.
+///
+/// # Errors
+///
+/// Those of the table; `Malformed` for a record that this version does not understand.
+pub async fn audit(
+    table: &dyn Table,
+    before: Option<Revision>,
+    limit: usize,
+) -> Result<Vec<Change>, PlatformError> {
+    let head = read_head(table).await?;
+    let mut next = before.map_or(head, |before| before.saturating_sub(1).min(head));
+    let mut records = Vec::new();
+    while next > 0 && records.len() < limit {
+        let wanted = READ_ROWS.min((limit - records.len()) as u64);
+        let first = next.saturating_sub(wanted - 1).max(1);
+        let keys = (first..=next).map(keys::log).collect();
+        let mut rows = read(table, keys).await?;
+        rows.sort_by(|a, b| b.key.cmp(&a.key));
+        for row in rows {
+            records.push(decode(&row).map_err(|error| malformed(&error))?);
+        }
+        next = first - 1;
+    }
+    Ok(records)
+}
+
+async fn read_head(table: &dyn Table) -> Result<Revision, PlatformError> {
+    let rows = read(table, vec![keys::HEAD.to_owned()]).await?;
+    let head: Option<Head> = rows
+        .first()
+        .map(decode)
+        .transpose()
+        .map_err(|error| malformed(&error))?;
+    Ok(head.unwrap_or_default().revision)
+}
+
+async fn read(table: &dyn Table, keys: Vec<String>) -> Result<Vec<platform::Row>, PlatformError> {
+    match table.call(TableRequest::Read(keys)).await? {
+        TableReply::Rows(rows) => Ok(rows),
+        TableReply::Commit(_) => Err(PlatformError::Malformed(
+            "commit outcome in answer to a read".to_owned(),
+        )),
+    }
+}
+
+fn malformed(error: &RowError) -> PlatformError {
+    PlatformError::Malformed(error.to_string())
+}
--- a/components/control/src/command.rs
+++ b/components/control/src/command.rs
@@ -79,6 +79,9 @@
         revision: Revision,
         /// Who made that change, as far as the log tells.
         by: String,
+        /// Fields in which the item now differs from the command, for people.
+        #[serde(default)]
+        difference: String,
     },
     /// The item does not exist.
     NotFound {
@@ -126,10 +129,15 @@
 impl fmt::Display for CommandError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Conflict { item, revision, by } => write!(
+            Self::Conflict {
+                item,
+                revision,
+                by,
+                difference,
+            } => write!(
                 f,
-                "{item} was changed by {by} at revision {revision}; look at it again and repeat \
-                 the command with --if-revision {revision}"
+                "{item} was changed by {by} at revision {revision} ({difference}); look at it \
+                 again and repeat the command with --if-revision {revision}"
             ),
             Self::NotFound { item } => write!(f, "{item} does not exist"),
             Self::Exists { item } => write!(f, "{item} exists already; change it instead"),
--- /dev/null
+++ b/components/control/src/execute.rs
@@ -0,0 +1,254 @@
+//! Drives plans to their end: reads rows, commits, and plans again after unrelated changes.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use platform::CommitOutcome;
+use platform::PlatformError;
+use platform::RowVersion;
+use platform::Table;
+use platform::TableReply;
+use platform::TableRequest;
+use platform::Timer;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use types::Change;
+use types::Clock;
+
+use crate::command::CommandError;
+use crate::command::CommandOutcome;
+use crate::command::CommandRequest;
+use crate::conflict;
+use crate::keys;
+use crate::plan::Intent;
+use crate::plan::Meta;
+use crate::plan::plan_intent;
+use crate::rows::RowSet;
+use crate::rows::RowsNeeded;
+
+/// Rows that one scan returns.
+const SCAN_ROWS: usize = 500;
+/// Plans made before the author is told to try again later. Every change of configuration
+/// anywhere moves `head`, so a busy log makes several plans fail in a row.
+const PLAN_LIMIT: u32 = 64;
+/// Bound of the pause after a first lost race for `head`; a transaction takes a few ms.
+const PAUSE_FIRST_MS: Duration = Duration::from_millis(5);
+/// Largest bound of a pause between plans.
+const PAUSE_LAST_MS: Duration = Duration::from_millis(200);
+
+/// Clock, delays and randomness of the driver.
+pub struct Executor {
+    table: Rc<dyn Table>,
+    clock: Rc<dyn Clock>,
+    timer: Rc<dyn Timer>,
+    random: RefCell<StdRng>,
+}
+
+/// Author of a change and the reason for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Author<'a> {
+    /// Operator, planner or agent.
+    pub by: &'a str,
+    /// Why, for people.
+    pub reason: &'a str,
+}
+
+impl Executor {
+    /// Works on `table`, which should be guarded; `seed` must differ between processes, since
+    /// tokens of changes are drawn from it.
+    #[must_use]
+    pub fn new(
+        table: Rc<dyn Table>,
+        clock: Rc<dyn Clock>,
+        timer: Rc<dyn Timer>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            table,
+            clock,
+            timer,
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Carries out an operator's command.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was changed, except possibly after `Unanswered`.
+    pub async fn execute(
+        &self,
+        operator: &str,
+        request: &CommandRequest,
+    ) -> Result<CommandOutcome, CommandError> {
+        let author = Author {
+            by: operator,
+            reason: &request.reason,
+        };
+        let change = self.run(request, author, request.dry_run).await?;
+        change
+            .map(|change| CommandOutcome {
+                change,
+                dry_run: request.dry_run,
+            })
+            .ok_or_else(|| CommandError::Refused {
+                item: "command".to_owned(),
+                fix: "nothing is left to do".to_owned(),
+            })
+    }
+
+    /// Makes any change; `None` if nothing was left to do.
+    ///
+    /// # Errors
+    ///
+    /// Those of the intent. Nothing was changed, except possibly after `Unanswered`.
+    pub async fn apply<I: Intent>(
+        &self,
+        intent: &I,
+        author: Author<'_>,
+    ) -> Result<Option<Change>, I::Error> {
+        self.run(intent, author, false).await
+    }
+
+    async fn run<I: Intent>(
+        &self,
+        intent: &I,
+        author: Author<'_>,
+        dry_run: bool,
+    ) -> Result<Option<Change>, I::Error> {
+        let meta = self.meta(author);
+        let contested = intent.contested();
+        let mut first_seen: Option<RowVersion> = None;
+        for attempt in 0..PLAN_LIMIT {
+            let mut rows = self.read_for(intent).await?;
+            if let Some((item, wanted)) = &contested {
+                let version = rows.version(item);
+                if *first_seen.get_or_insert(version) != version {
+                    self.read_author(item, &mut rows).await?;
+                    return Err(conflict::describe(&rows, item, wanted).into());
+                }
+            }
+            let Some(planned) = plan_intent(intent, &rows, &meta)? else {
+                return Ok(None);
+            };
+            if dry_run {
+                return Ok(Some(planned.change));
+            }
+            let request = TableRequest::Commit(planned.transaction);
+            match self.table.call(request).await {
+                Ok(TableReply::Commit(CommitOutcome::Committed(_))) => {
+                    return Ok(Some(planned.change));
+                }
+                Ok(TableReply::Commit(CommitOutcome::Conflict(_))) => {}
+                other => return Err(commit_error(other, meta.token).into()),
+            }
+            self.pause(attempt).await;
+        }
+        Err(CommandError::Unavailable {
+            detail: format!("other changes came first {PLAN_LIMIT} times"),
+        }
+        .into())
+    }
+
+    fn meta(&self, author: Author<'_>) -> Meta {
+        let at_ms = self
+            .clock
+            .wall()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        Meta {
+            by: author.by.to_owned(),
+            reason: author.reason.to_owned(),
+            at_ms,
+            token: self.random.borrow_mut().random(),
+        }
+    }
+
+    async fn read_for<I: Intent>(&self, intent: &I) -> Result<RowSet, CommandError> {
+        let mut rows = RowSet::default();
+        // `head` is read first: a later change to any row then fails the check on it.
+        self.read_keys(vec![keys::HEAD.to_owned()], &mut rows)
+            .await?;
+        loop {
+            let needed = rows.missing(intent.rows_needed(&rows));
+            if needed.is_empty() {
+                return Ok(rows);
+            }
+            self.read(needed, &mut rows).await?;
+        }
+    }
+
+    async fn read(&self, needed: RowsNeeded, rows: &mut RowSet) -> Result<(), CommandError> {
+        if !needed.keys.is_empty() {
+            self.read_keys(needed.keys, rows).await?;
+        }
+        for prefix in needed.prefixes {
+            let mut found = Vec::new();
+            let mut after = String::new();
+            loop {
+                let request = TableRequest::Scan {
+                    prefix: prefix.clone(),
+                    after: after.clone(),
+                    limit: SCAN_ROWS,
+                };
+                let page = self.rows(request).await?;
+                let is_last = page.len() < SCAN_ROWS;
+                if let Some(row) = page.last() {
+                    after.clone_from(&row.key);
+                }
+                found.extend(page);
+                if is_last {
+                    break;
+                }
+            }
+            rows.add_scan(&prefix, found);
+        }
+        Ok(())
+    }
+
+    async fn read_keys(&self, keys: Vec<String>, rows: &mut RowSet) -> Result<(), CommandError> {
+        let found = self.rows(TableRequest::Read(keys.clone())).await?;
+        rows.add_read(&keys, found);
+        Ok(())
+    }
+
+    async fn read_author(&self, item: &str, rows: &mut RowSet) -> Result<(), CommandError> {
+        let key = keys::log(rows.revision(item));
+        self.read_keys(vec![key], rows).await
+    }
+
+    async fn rows(&self, request: TableRequest) -> Result<Vec<platform::Row>, CommandError> {
+        match self.table.call(request).await {
+            Ok(TableReply::Rows(rows)) => Ok(rows),
+            Ok(TableReply::Commit(_)) => Err(CommandError::Unavailable {
+                detail: "the table answered a read with a commit outcome".to_owned(),
+            }),
+            Err(error) => Err(CommandError::Unavailable {
+                detail: error.to_string(),
+            }),
+        }
+    }
+
+    async fn pause(&self, attempt: u32) {
+        let bound = (PAUSE_FIRST_MS * 2_u32.pow(attempt.min(10))).min(PAUSE_LAST_MS);
+        let share = self.random.borrow_mut().random_range(0.0..=1.0);
+        self.timer.sleep(bound.mul_f64(share)).await;
+    }
+}
+
+/// Error of a commit that gave no outcome.
+fn commit_error(result: Result<TableReply, PlatformError>, token: u128) -> CommandError {
+    match result {
+        Err(error @ (PlatformError::Unavailable(_) | PlatformError::RateLimited)) => {
+            CommandError::Unavailable {
+                detail: error.to_string(),
+            }
+        }
+        _ => CommandError::Unanswered {
+            token: token.to_string(),
+        },
+    }
+}
--- /dev/null
+++ b/components/control/src/follower.rs
@@ -0,0 +1,480 @@
+//! Follows the change log and keeps the latest snapshot.
+//!
+//! The log is polled every second, and read at once when a datagram announces a newer
+//! revision. A process with a snapshot does not need the table. One without a snapshot, or
+//! one that knows that it is behind, asks its peers while the table does not answer.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::PlatformError;
+use platform::TableReply;
+use platform::TableRequest;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use types::Change;
+use types::Incarnation;
+use types::Revision;
+
+use crate::keys;
+use crate::loading;
+use crate::loading::Loading;
+use crate::loading::Step;
+use crate::peers::PeerAnswer;
+use crate::peers::PeerSnapshots;
+use crate::peers::answers;
+use crate::rows::Head;
+use crate::rows::RowError;
+use crate::rows::decode;
+use crate::snapshot::Snapshot;
+
+/// Records kept for peers; about ten minutes of changes in the fleet of two years from now,
+/// at twenty times the average rate.
+const RECENT_RECORDS: usize = 4096;
+
+/// Times of a follower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowerOptions {
+    /// Time between polls; each one is drawn between three quarters of it and the whole.
+    pub poll_ms: Duration,
+    /// Time without an answer of the table after which peers are asked.
+    pub peers_after_ms: Duration,
+    /// Time without an answer after which a call is forgotten and made again. Longer than the
+    /// guarded table's give-up time.
+    pub call_timeout_ms: Duration,
+}
+
+impl Default for FollowerOptions {
+    fn default() -> Self {
+        Self {
+            poll_ms: Duration::from_secs(1),
+            peers_after_ms: Duration::from_millis(750),
+            call_timeout_ms: Duration::from_secs(15),
+        }
+    }
+}
+
+/// What a follower is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FollowerEvent {
+    /// Time passed.
+    Tick,
+    /// A table request ended.
+    TableDone {
+        /// From the action.
+        operation: u64,
+        /// Its end.
+        result: Result<TableReply, PlatformError>,
+    },
+    /// Another process has applied this revision.
+    Hint {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// A peer asks for the changes after a revision.
+    PeerAsks {
+        /// Run of the peer.
+        peer: Incarnation,
+        /// Revision that it has; 0 for none.
+        after: Revision,
+    },
+    /// A peer answered.
+    PeerAnswered {
+        /// Run of the peer.
+        peer: Incarnation,
+        /// Its answer.
+        answer: PeerAnswer,
+    },
+}
+
+/// What a follower wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FollowerAction {
+    /// Make a call and report its end.
+    Table {
+        /// Number of the call within this follower.
+        operation: u64,
+        /// The call.
+        request: TableRequest,
+    },
+    /// Ask a peer for the changes after a revision; another one each time.
+    AskPeer {
+        /// Revision in force here; 0 asks for a snapshot.
+        after: Revision,
+    },
+    /// Answer a peer.
+    AnswerPeer {
+        /// Run of the peer.
+        peer: Incarnation,
+        /// The answer.
+        answer: PeerAnswer,
+    },
+    /// A newer snapshot is in force.
+    Applied {
+        /// The snapshot.
+        snapshot: Rc<Snapshot>,
+        /// Changes that led to it, oldest first; empty after a whole snapshot was read.
+        changes: Vec<Change>,
+    },
+    /// Something in the table or from a peer was not understood, and was not applied.
+    Rejected {
+        /// For the log.
+        detail: String,
+    },
+}
+
+/// How far a follower is behind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Behind {
+    /// Revision in force here; 0 without a snapshot.
+    pub applied: Revision,
+    /// Latest revision that this process has heard of.
+    pub known: Revision,
+    /// For how long.
+    pub for_ms: Duration,
+}
+
+/// Call under way.
+#[derive(Debug)]
+enum Call {
+    Head,
+    Log,
+    Loading(Box<Loading>),
+}
+
+/// State machine that follows the log.
+#[derive(Debug)]
+pub struct Follower {
+    options: FollowerOptions,
+    random: StdRng,
+    snapshot: Option<Rc<Snapshot>>,
+    recent: VecDeque<Change>,
+    known: Revision,
+    behind_since: Option<Instant>,
+    call: Option<(u64, Instant, Call)>,
+    last_operation: u64,
+    /// Since when the table has given no answer.
+    silent_since: Option<Instant>,
+    /// The last call failed.
+    failing: bool,
+    next_poll: Instant,
+    next_ask: Instant,
+    from_peers: PeerSnapshots,
+}
+
+impl Follower {
+    /// Starts without a snapshot; `seed` feeds the jitter of polls.
+    #[must_use]
+    pub fn new(options: FollowerOptions, now: Instant, seed: u64) -> Self {
+        Self {
+            options,
+            random: StdRng::seed_from_u64(seed),
+            snapshot: None,
+            recent: VecDeque::new(),
+            known: 0,
+            behind_since: Some(now),
+            call: None,
+            last_operation: 0,
+            silent_since: None,
+            failing: false,
+            next_poll: now,
+            next_ask: now,
+            from_peers: PeerSnapshots::default(),
+        }
+    }
+
+    /// The snapshot in force; `None` until the first one was read.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Rc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Revision in force; 0 without a snapshot.
+    #[must_use]
+    pub fn applied(&self) -> Revision {
+        self.snapshot
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.revision())
+    }
+
+    /// How far the snapshot is behind what was heard of; `None` if it is not.
+    #[must_use]
+    pub fn behind(&self, now: Instant) -> Option<Behind> {
+        self.behind_since.map(|since| Behind {
+            applied: self.applied(),
+            known: self.known,
+            for_ms: now.saturating_duration_since(since),
+        })
+    }
+
+    /// When the next tick is due.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        let call = match &self.call {
+            Some((_, sent, _)) => *sent + self.options.call_timeout_ms,
+            None => self.next_poll,
+        };
+        match self.silent_since {
+            Some(since) if self.behind_since.is_some() => {
+                call.min(self.next_ask.max(since + self.options.peers_after_ms))
+            }
+            _ => call,
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Instant, event: FollowerEvent) -> Vec<FollowerAction> {
+        let mut actions = Vec::new();
+        match event {
+            FollowerEvent::Tick => {}
+            FollowerEvent::TableDone { operation, result } => {
+                self.table_done(now, operation, result, &mut actions);
+            }
+            FollowerEvent::Hint { revision } => self.heard_of(now, revision),
+            FollowerEvent::PeerAsks { peer, after } => {
+                self.heard_of(now, after);
+                self.answer(peer, after, &mut actions);
+            }
+            FollowerEvent::PeerAnswered { peer, answer } => {
+                self.peer_answered(now, peer, answer, &mut actions);
+            }
+        }
+        self.next_request(now, &mut actions);
+        self.ask_peers(now, &mut actions);
+        actions
+    }
+
+    fn heard_of(&mut self, now: Instant, revision: Revision) {
+        if revision <= self.known {
+            return;
+        }
+        self.known = revision;
+        if revision > self.applied() {
+            self.behind_since.get_or_insert(now);
+            // Read at once, unless the table is known not to answer.
+            if !self.failing {
+                self.next_poll = now;
+            }
+        }
+    }
+
+    fn next_request(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        if let Some((_, sent, _)) = &self.call
+            && now.saturating_duration_since(*sent) >= self.options.call_timeout_ms
+        {
+            self.call = None;
+            self.next_poll = now;
+        }
+        if self.call.is_some() || now < self.next_poll {
+            return;
+        }
+        let share = self.random.random_range(0.75..=1.0);
+        self.next_poll = now + self.options.poll_ms.mul_f64(share);
+        let call = match &self.snapshot {
+            None => Call::Loading(Box::default()),
+            Some(snapshot) if self.known > snapshot.revision() => Call::Log,
+            Some(_) => Call::Head,
+        };
+        self.start(now, call, actions);
+    }
+
+    fn start(&mut self, now: Instant, call: Call, actions: &mut Vec<FollowerAction>) {
+        let request = match &call {
+            Call::Head => TableRequest::Read(vec![keys::HEAD.to_owned()]),
+            Call::Log => loading::scan_log(self.applied()),
+            Call::Loading(loading) => loading.request(),
+        };
+        self.last_operation += 1;
+        let operation = self.last_operation;
+        self.call = Some((operation, now, call));
+        self.silent_since.get_or_insert(now);
+        actions.push(FollowerAction::Table { operation, request });
+    }
+
+    fn table_done(
+        &mut self,
+        now: Instant,
+        operation: u64,
+        result: Result<TableReply, PlatformError>,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        let Some((_, _, call)) = self.call.take_if(|call| call.0 == operation) else {
+            return;
+        };
+        let Ok(TableReply::Rows(rows)) = result else {
+            self.failing = true;
+            return;
+        };
+        self.failing = false;
+        self.silent_since = None;
+        let outcome = match call {
+            Call::Head => self.read_head(now, &rows),
+            Call::Log => self.read_log(now, &rows, actions),
+            Call::Loading(loading) => self.read_page(now, *loading, &rows, actions),
+        };
+        if let Err(error) = outcome {
+            actions.push(FollowerAction::Rejected {
+                detail: error.to_string(),
+            });
+        }
+    }
+
+    fn read_head(&mut self, now: Instant, rows: &[platform::Row]) -> Result<(), RowError> {
+        let head: Option<Head> = rows.first().map(decode).transpose()?;
+        self.heard_of(now, head.unwrap_or_default().revision);
+        if self.known > self.applied() {
+            self.next_poll = now;
+        }
+        Ok(())
+    }
+
+    fn read_log(
+        &mut self,
+        now: Instant,
+        rows: &[platform::Row],
+        actions: &mut Vec<FollowerAction>,
+    ) -> Result<(), RowError> {
+        let mut changes = Vec::with_capacity(rows.len());
+        let mut outcome = Ok(());
+        for row in rows {
+            match decode(row) {
+                Ok(change) => changes.push(change),
+                Err(error) => {
+                    // The records before it are good.
+                    outcome = Err(error);
+                    break;
+                }
+            }
+        }
+        self.apply(now, changes, actions);
+        if outcome.is_ok() && rows.len() >= loading::PAGE_ROWS {
+            self.next_poll = now;
+        }
+        outcome
+    }
+
+    fn read_page(
+        &mut self,
+        now: Instant,
+        loading: Loading,
+        rows: &[platform::Row],
+        actions: &mut Vec<FollowerAction>,
+    ) -> Result<(), RowError> {
+        match loading.page(rows)? {
+            Step::More(loading) => self.start(now, Call::Loading(Box::new(loading)), actions),
+            Step::Done(snapshot) => self.replace(now, snapshot, actions),
+        }
+        Ok(())
+    }
+
+    /// Applies the records that follow on the snapshot; earlier ones are skipped, and those
+    /// after a gap wait for the next read.
+    fn apply(&mut self, now: Instant, changes: Vec<Change>, actions: &mut Vec<FollowerAction>) {
+        let Some(current) = &self.snapshot else {
+            return;
+        };
+        let mut next = Snapshot::clone(current);
+        let mut applied = Vec::new();
+        for change in changes {
+            if change.revision > next.revision() && next.apply(&change).is_ok() {
+                applied.push(change);
+            }
+        }
+        if applied.is_empty() {
+            return;
+        }
+        self.recent.extend(applied.iter().cloned());
+        let excess = self.recent.len().saturating_sub(RECENT_RECORDS);
+        self.recent.drain(..excess);
+        self.put_in_force(now, next, applied, actions);
+    }
+
+    /// Puts a whole snapshot in force, unless it is older than the one in force.
+    fn replace(&mut self, now: Instant, next: Snapshot, actions: &mut Vec<FollowerAction>) {
+        if self
+            .snapshot
+            .as_ref()
+            .is_some_and(|current| current.revision() >= next.revision())
+        {
+            return;
+        }
+        self.recent.clear();
+        self.put_in_force(now, next, Vec::new(), actions);
+    }
+
+    fn put_in_force(
+        &mut self,
+        now: Instant,
+        next: Snapshot,
+        changes: Vec<Change>,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        let snapshot = Rc::new(next);
+        self.known = self.known.max(snapshot.revision());
+        let is_behind = self.known > snapshot.revision();
+        self.behind_since = self.behind_since.or(Some(now)).filter(|_| is_behind);
+        if is_behind && !self.failing {
+            self.next_poll = now;
+        }
+        self.from_peers.drop_up_to(snapshot.revision());
+        self.snapshot = Some(Rc::clone(&snapshot));
+        actions.push(FollowerAction::Applied { snapshot, changes });
+    }
+
+    fn answer(&self, peer: Incarnation, after: Revision, actions: &mut Vec<FollowerAction>) {
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        for answer in answers(snapshot, &self.recent, after) {
+            actions.push(FollowerAction::AnswerPeer { peer, answer });
+        }
+    }
+
+    fn peer_answered(
+        &mut self,
+        now: Instant,
+        peer: Incarnation,
+        answer: PeerAnswer,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        self.heard_of(now, answer.head());
+        let before = self.applied();
+        match answer.decode() {
+            Err(detail) => actions.push(FollowerAction::Rejected { detail }),
+            Ok((PeerAnswer::Changes { .. }, changes)) => self.apply(now, changes, actions),
+            Ok((
+                PeerAnswer::Snapshot {
+                    head, part, parts, ..
+                },
+                records,
+            )) => {
+                if head > before || self.snapshot.is_none() {
+                    let whole = self.from_peers.add(peer, head, part, parts, records);
+                    if let Some(snapshot) = whole {
+                        self.replace(now, snapshot, actions);
+                    }
+                }
+            }
+        }
+        if self.applied() > before {
+            // The answer may have been cut at its size limit.
+            self.next_ask = now;
+        }
+    }
+
+    fn ask_peers(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        let silent = self.silent_since.is_some_and(|since| {
+            now.saturating_duration_since(since) >= self.options.peers_after_ms
+        });
+        if !silent || self.behind_since.is_none() || now < self.next_ask {
+            return;
+        }
+        self.next_ask = now + self.options.poll_ms;
+        actions.push(FollowerAction::AskPeer {
+            after: self.applied(),
+        });
+    }
+}
--- /dev/null
+++ b/components/control/src/lease.rs
@@ -0,0 +1,352 @@
+//! Lease of a scope: at most one entry plans for a service, or sweeps.
+//!
+//! Another entry takes a lease over only after it has seen the row unchanged for the whole
+//! duration on its own clock; clocks of two hosts are never compared. A holder that does not
+//! know that it lost the lease can do no harm, since every order is planned under the row's
+//! version.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::Check;
+use platform::CommitOutcome;
+use platform::PlatformError;
+use platform::Row;
+use platform::RowVersion;
+use platform::TableReply;
+use platform::TableRequest;
+use platform::Transaction;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use types::FencingNumber;
+use types::Incarnation;
+
+use crate::keys;
+use crate::plan::put;
+use crate::rows::LeaseRow;
+use crate::rows::decode;
+
+/// A lease as its holder last wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldLease {
+    /// Service, or `sweep`.
+    pub scope: String,
+    /// Run of the entry that holds it.
+    pub holder: Incarnation,
+    /// Number that orders under the lease carry.
+    pub fencing: FencingNumber,
+    /// Version of the row.
+    pub version: RowVersion,
+}
+
+/// What a lease is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseEvent {
+    /// Time passed.
+    Tick,
+    /// A table request ended.
+    TableDone {
+        /// From the action.
+        operation: u64,
+        /// Its end.
+        result: Result<TableReply, PlatformError>,
+    },
+    /// The process stops: give the lease back and take no other.
+    Release,
+}
+
+/// What a lease wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Make a call and report its end.
+    Table {
+        /// Number of the call within this lease.
+        operation: u64,
+        /// The call.
+        request: TableRequest,
+    },
+    /// The lease is held from now on, under a new fencing number.
+    Acquired(HeldLease),
+    /// The lease is no longer held: another entry took it, or it was given back.
+    Lost,
+}
+
+/// Call under way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Call {
+    Read,
+    /// Take over, renew or release, with the row's value if the commit succeeds.
+    Write(LeaseRow),
+}
+
+/// Row as last seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    version: RowVersion,
+    row: Option<LeaseRow>,
+    /// When this version was first seen; an upper bound of when it was written.
+    since: Instant,
+}
+
+/// State machine of one lease in one entry.
+#[derive(Debug)]
+pub struct Lease {
+    scope: String,
+    me: Incarnation,
+    duration_ms: Duration,
+    random: StdRng,
+    seen: Option<Seen>,
+    held: Option<HeldLease>,
+    /// When the last successful renewal was sent.
+    renewed: Option<Instant>,
+    releasing: bool,
+    call: Option<(u64, Instant, Call)>,
+    last_operation: u64,
+    next_call: Instant,
+}
+
+impl Lease {
+    /// Starts without the lease; `seed` feeds the jitter between calls.
+    #[must_use]
+    pub fn new(
+        scope: &str,
+        me: Incarnation,
+        duration_ms: Duration,
+        now: Instant,
+        seed: u64,
+    ) -> Self {
+        Self {
+            scope: scope.to_owned(),
+            me,
+            duration_ms,
+            random: StdRng::seed_from_u64(seed),
+            seen: None,
+            held: None,
+            renewed: None,
+            releasing: false,
+            call: None,
+            last_operation: 0,
+            next_call: now,
+        }
+    }
+
+    /// The lease, if it is held and its last renewal is younger than two thirds of the
+    /// duration.
+    #[must_use]
+    pub fn held(&self, now: Instant) -> Option<&HeldLease> {
+        let renewed = self.renewed?;
+        let fresh = now.saturating_duration_since(renewed) < self.duration_ms * 2 / 3;
+        self.held.as_ref().filter(|_| fresh && !self.releasing)
+    }
+
+    /// When the next tick is due.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        match &self.call {
+            Some((_, sent, _)) => *sent + self.duration_ms,
+            None => self.next_call,
+        }
+    }
+
+    /// Nothing is left to do after a release.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.releasing && self.held.is_none()
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Instant, event: LeaseEvent) -> Vec<LeaseAction> {
+        let mut actions = Vec::new();
+        match event {
+            LeaseEvent::Tick => {}
+            LeaseEvent::Release => {
+                self.releasing = true;
+                self.next_call = now;
+            }
+            LeaseEvent::TableDone { operation, result } => {
+                self.table_done(now, operation, result, &mut actions);
+            }
+        }
+        self.next_request(now, &mut actions);
+        actions
+    }
+
+    fn next_request(&mut self, now: Instant, actions: &mut Vec<LeaseAction>) {
+        if let Some((_, sent, _)) = &self.call
+            && now.saturating_duration_since(*sent) >= self.duration_ms
+        {
+            // The call is forgotten; if it still takes effect, the next read shows it.
+            self.forget_call();
+        }
+        if self.call.is_some() || now < self.next_call || self.is_released() {
+            return;
+        }
+        self.schedule(now);
+        self.last_operation += 1;
+        let operation = self.last_operation;
+        let write = self.next_write(now);
+        let request = match (&write, &self.seen) {
+            (Some(row), Some(seen)) => self.commit(*row, seen.version),
+            _ => TableRequest::Read(vec![keys::lease(&self.scope)]),
+        };
+        let call = write.map_or(Call::Read, Call::Write);
+        self.call = Some((operation, now, call));
+        actions.push(LeaseAction::Table { operation, request });
+    }
+
+    /// Value to write now; `None` if the row must be read first or belongs to another entry.
+    fn next_write(&self, now: Instant) -> Option<LeaseRow> {
+        let seen = self.seen?;
+        let Some(row) = seen.row else {
+            return (!self.releasing).then_some(LeaseRow {
+                holder: self.me,
+                fencing: 1,
+                renewal: 1,
+            });
+        };
+        let renewal = row.renewal + 1;
+        if self.releasing {
+            return (row.holder == self.me).then_some(LeaseRow {
+                holder: 0,
+                renewal,
+                ..row
+            });
+        }
+        if row.holder == self.me {
+            return Some(LeaseRow { renewal, ..row });
+        }
+        let expired = now.saturating_duration_since(seen.since) >= self.duration_ms;
+        (row.holder == 0 || expired).then_some(LeaseRow {
+            holder: self.me,
+            fencing: row.fencing + 1,
+            renewal,
+        })
+    }
+
+    fn commit(&self, row: LeaseRow, version: RowVersion) -> TableRequest {
+        let key = keys::lease(&self.scope);
+        TableRequest::Commit(Transaction {
+            checks: vec![Check {
+                key: key.clone(),
+                version,
+            }],
+            puts: vec![put(key.clone(), &row)],
+            proof: key,
+        })
+    }
+
+    fn table_done(
+        &mut self,
+        now: Instant,
+        operation: u64,
+        result: Result<TableReply, PlatformError>,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        let Some((_, sent, call)) = self.call.take_if(|call| call.0 == operation) else {
+            return;
+        };
+        match (call, result) {
+            (Call::Read, Ok(TableReply::Rows(rows))) => {
+                self.saw(now, rows.first(), actions);
+            }
+            (Call::Write(row), Ok(TableReply::Commit(CommitOutcome::Committed(versions)))) => {
+                self.wrote(now, sent, row, versions.first().copied(), actions);
+            }
+            (Call::Write(_), Ok(TableReply::Commit(CommitOutcome::Conflict(rows)))) => {
+                self.saw(now, rows.first().filter(|row| row.version != 0), actions);
+            }
+            (Call::Write(_), _) => self.seen = None,
+            (Call::Read, _) => {}
+        }
+    }
+
+    /// Takes note of the row as it is in the table.
+    fn saw(&mut self, now: Instant, row: Option<&Row>, actions: &mut Vec<LeaseAction>) {
+        let version = row.map_or(0, |row| row.version);
+        // A row that is not understood is left alone.
+        let Ok(value) = row.map(decode::<LeaseRow>).transpose() else {
+            return;
+        };
+        let since = self
+            .seen
+            .filter(|seen| seen.version == version)
+            .map_or(now, |seen| seen.since);
+        self.seen = Some(Seen {
+            version,
+            row: value,
+            since,
+        });
+        let mine = value.is_some_and(|row| {
+            row.holder == self.me
+                && self
+                    .held
+                    .as_ref()
+                    .is_none_or(|held| held.fencing == row.fencing)
+        });
+        if mine {
+            // Written by an earlier call whose reply was lost: renew at once to be sure.
+            self.next_call = now;
+        } else if self.held.take().is_some() {
+            self.renewed = None;
+            actions.push(LeaseAction::Lost);
+        }
+        if self.releasing && !mine {
+            self.held = None;
+        }
+        if value.is_none_or(|row| row.holder == 0) {
+            self.next_call = now;
+        }
+    }
+
+    /// Takes note of an own write.
+    fn wrote(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        row: LeaseRow,
+        version: Option<RowVersion>,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        let version = version.unwrap_or(0);
+        self.seen = (version != 0).then_some(Seen {
+            version,
+            row: Some(row),
+            since: now,
+        });
+        if row.holder == 0 {
+            if self.held.take().is_some() {
+                actions.push(LeaseAction::Lost);
+            }
+            return;
+        }
+        let known = self
+            .held
+            .as_ref()
+            .is_some_and(|held| held.fencing == row.fencing);
+        let held = HeldLease {
+            scope: self.scope.clone(),
+            holder: self.me,
+            fencing: row.fencing,
+            version,
+        };
+        self.renewed = Some(sent);
+        self.held = Some(held.clone());
+        if !known {
+            actions.push(LeaseAction::Acquired(held));
+        }
+    }
+
+    fn forget_call(&mut self) {
+        if let Some((_, _, Call::Write(_))) = self.call.take() {
+            self.seen = None;
+        }
+    }
+
+    /// Calls are made every third of the duration, with jitter so that entries that wait for
+    /// the same lease do not call in step.
+    fn schedule(&mut self, now: Instant) {
+        let share = self.random.random_range(0.8..=1.0);
+        self.next_call = now + (self.duration_ms / 3).mul_f64(share);
+    }
+}
--- /dev/null
+++ b/components/control/src/peers.rs
@@ -0,0 +1,171 @@
+//! Changes and snapshots that entries exchange while the table does not answer.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use types::Change;
+use types::Incarnation;
+use types::Revision;
+
+use crate::rows::encode;
+use crate::snapshot::Snapshot;
+
+/// Most bytes of records in one answer; well below the 1 MiB that a frame allows.
+const ANSWER_BYTES: usize = 512 << 10;
+/// Most parts of a snapshot: 512 MiB, far above any fleet.
+const MAX_PARTS: u32 = 1024;
+/// Most snapshots in transfer at once.
+const MAX_TRANSFERS: usize = 4;
+
+/// Answer to a peer; `wire::ToPeer` has a message for each variant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerAnswer {
+    /// Log records in order.
+    Changes {
+        /// Revision in force at the sender.
+        head: Revision,
+        /// JSON of each `Change`.
+        records: Vec<String>,
+    },
+    /// One part of a snapshot.
+    Snapshot {
+        /// Revision of the snapshot.
+        head: Revision,
+        /// Position of this part, from 0.
+        part: u32,
+        /// Number of parts.
+        parts: u32,
+        /// JSON of one `Change` for each item, in order of revision.
+        records: Vec<String>,
+    },
+}
+
+impl PeerAnswer {
+    /// Revision in force at the sender.
+    #[must_use]
+    pub fn head(&self) -> Revision {
+        match self {
+            Self::Changes { head, .. } | Self::Snapshot { head, .. } => *head,
+        }
+    }
+
+    /// Decodes the records and leaves the rest.
+    pub(crate) fn decode(mut self) -> Result<(Self, Vec<Change>), String> {
+        let (Self::Changes { records, .. } | Self::Snapshot { records, .. }) = &mut self;
+        let changes = std::mem::take(records)
+            .iter()
+            .map(|record| serde_json::from_str(record))
+            .collect::<Result<Vec<Change>, _>>()
+            .map_err(|error| format!("record from a peer is not understood: {error}"))?;
+        Ok((self, changes))
+    }
+}
+
+/// Answers to a peer that has `after`: the records that it lacks, as far as they are still
+/// known here, or the whole snapshot.
+pub(crate) fn answers(
+    snapshot: &Snapshot,
+    recent: &VecDeque<Change>,
+    after: Revision,
+) -> Vec<PeerAnswer> {
+    let head = snapshot.revision();
+    let first = recent.front().map_or(head + 1, |change| change.revision);
+    if after >= head || (after > 0 && after + 1 >= first) {
+        let missing = recent.iter().filter(|change| change.revision > after);
+        let records = parts(missing).into_iter().next().unwrap_or_default();
+        return vec![PeerAnswer::Changes { head, records }];
+    }
+    let records = snapshot.records();
+    let parts = parts(records.iter());
+    let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    (0..)
+        .zip(parts)
+        .map(|(part, records)| PeerAnswer::Snapshot {
+            head,
+            part,
+            parts: count,
+            records,
+        })
+        .collect()
+}
+
+/// Splits records by size; there is at least one part.
+fn parts<'a>(changes: impl Iterator<Item = &'a Change>) -> Vec<Vec<String>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for record in changes.map(encode) {
+        if bytes > 0 && bytes + record.len() > ANSWER_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += record.len();
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
+    }
+    parts
+}
+
+/// Snapshots of which some parts have arrived.
+#[derive(Debug, Default)]
+pub(crate) struct PeerSnapshots {
+    transfers: BTreeMap<Incarnation, Transfer>,
+}
+
+#[derive(Debug)]
+struct Transfer {
+    head: Revision,
+    next_part: u32,
+    records: Vec<Change>,
+}
+
+impl PeerSnapshots {
+    /// Adds a part; the snapshot once it is whole. A part out of order ends the transfer.
+    pub(crate) fn add(
+        &mut self,
+        peer: Incarnation,
+        head: Revision,
+        part: u32,
+        parts: u32,
+        records: Vec<Change>,
+    ) -> Option<Snapshot> {
+        if part >= parts || parts > MAX_PARTS {
+            return None;
+        }
+        if part == 0 {
+            self.make_room(peer);
+            let transfer = Transfer {
+                head,
+                next_part: 1,
+                records,
+            };
+            self.transfers.insert(peer, transfer);
+        } else {
+            let transfer = self.transfers.get_mut(&peer)?;
+            if transfer.head != head || transfer.next_part != part {
+                self.transfers.remove(&peer);
+                return None;
+            }
+            transfer.next_part += 1;
+            transfer.records.extend(records);
+        }
+        if part + 1 < parts {
+            return None;
+        }
+        let whole = self.transfers.remove(&peer)?;
+        Some(Snapshot::from_records(whole.head, &whole.records))
+    }
+
+    /// Forgets transfers that would not be newer than the snapshot in force.
+    pub(crate) fn drop_up_to(&mut self, revision: Revision) {
+        self.transfers
+            .retain(|_, transfer| transfer.head > revision);
+    }
+
+    fn make_room(&mut self, peer: Incarnation) {
+        self.transfers.remove(&peer);
+        if self.transfers.len() >= MAX_TRANSFERS {
+            self.transfers.pop_first();
+        }
+    }
+}
