--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 pub mod liveness;
 pub mod message;
+pub mod session;
 
 pub use answer::AnswerDigest;
 pub use answer::Digest;
@@ -29,6 +30,11 @@
 pub use message::ToAgent;
 pub use message::ToEntry;
 pub use message::ToPeer;
+pub use session::End;
+pub use session::SessionError;
+pub use session::SessionReader;
+pub use session::SessionWriter;
+pub use session::establish;
 
 /// Version of the protocol; a process refuses connections of another one.
 pub const PROTOCOL_VERSION: u16 = 1;
