--- /dev/null
+++ b/components/routing/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! A small fleet whose targets answer probes and report no load.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use request::Need;
+use request::Router;
+use request::Settlement;
+use routing::Fleet;
+use routing::Settings;
+use routing::Standing;
+use types::AttemptId;
+use types::LoadReport;
+use types::Loaded;
+use types::Role;
+use types::ServiceKind;
+use types::Target;
+use types::TargetState;
+
+pub struct World {
+    pub fleet: Fleet,
+    pub now: Instant,
+    pub targets: Vec<Target>,
+    pub sequences: Vec<u64>,
+    attempts: u128,
+}
+
+impl World {
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut world = Self {
+            fleet: Fleet::new(Settings::new("sapporo-a"), seed),
+            now: Instant::now(),
+            targets: (0..count).map(target).collect(),
+            sequences: vec![0; count],
+            attempts: 0,
+        };
+        for at in 0..count {
+            let target = world.targets[at].clone();
+            world.fleet.target_set(world.now, &target);
+            world.probe(at);
+            world.report(at, |_| {});
+        }
+        world
+    }
+
+    pub fn index(name: &str) -> usize {
+        name.trim_start_matches("engine-").parse().unwrap()
+    }
+
+    pub fn probe(&mut self, at: usize) {
+        let target = &self.targets[at];
+        self.fleet
+            .probe_answered(self.now, &target.name, target.incarnation);
+    }
+
+    pub fn report(&mut self, at: usize, change: impl FnOnce(&mut LoadReport)) {
+        self.sequences[at] += 1;
+        let mut report = report(&self.targets[at], self.sequences[at]);
+        change(&mut report);
+        let name = self.targets[at].name.clone();
+        self.fleet.load_report(self.now, &name, &report);
+    }
+
+    pub fn dispatch(&mut self, name: &str, prompt_tokens: u32) -> AttemptId {
+        self.attempts += 1;
+        let attempt = AttemptId {
+            request: self.attempts,
+            number: 1,
+        };
+        let need = need(self.now, prompt_tokens);
+        self.fleet
+            .dispatched(self.now, &name.to_owned(), attempt, &need);
+        attempt
+    }
+
+    pub fn run(&mut self, name: &str, prompt_tokens: u32, settlement: Settlement) {
+        let attempt = self.dispatch(name, prompt_tokens);
+        self.fleet
+            .settled(self.now, &name.to_owned(), attempt, settlement);
+    }
+
+    pub fn standing(&self, at: usize) -> Standing {
+        self.fleet.views(self.now, "drafts")[at].standing
+    }
+
+    pub fn rank(&self, at: usize, need: &Need) -> f64 {
+        let name = &self.targets[at].name;
+        let candidates = self.fleet.explain(self.now, need);
+        candidates
+            .iter()
+            .find(|candidate| candidate.target == *name)
+            .unwrap()
+            .rank_ms
+    }
+}
+
+pub fn target(at: usize) -> Target {
+    Target {
+        name: format!("engine-{at}"),
+        service: "drafts".into(),
+        kind: ServiceKind::Model,
+        place: "sapporo-a".into(),
+        host: format!("host-{at}"),
+        agent: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 100 + at as u64,
+        honours_fencing: true,
+        state: TargetState::Active,
+        role: Role::Mixed,
+        loaded: Loaded {
+            model: "base".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        },
+        applied: 0,
+    }
+}
+
+pub fn report(target: &Target, sequence: u64) -> LoadReport {
+    LoadReport {
+        incarnation: target.incarnation,
+        sequence,
+        age_ms: 0,
+        running: 0,
+        queued: 0,
+        prefill_backlog_tokens: 0,
+        decode_backlog_tokens: 0,
+        received: 0,
+        cache_used_permille: 0,
+        role: target.role,
+        loaded: target.loaded.clone(),
+        applied: 0,
+        leaving: false,
+        away: false,
+    }
+}
+
+pub fn need(now: Instant, prompt_tokens: u32) -> Need {
+    Need {
+        service: "drafts".into(),
+        kind: ServiceKind::Model,
+        needs: Loaded::default(),
+        priority: 4,
+        prompt_tokens,
+        max_output_tokens: 200,
+        prefixes: Vec::new(),
+        deadline: now + Duration::from_mins(1),
+        concurrency_limit: 32,
+        cache_affinity: 1.0,
+    }
+}
