--- a/components/types/src/load.rs
+++ b/components/types/src/load.rs
@@ -25,7 +25,8 @@
     pub prefill_backlog_tokens: u64,
     /// Output tokens still expected.
     pub decode_backlog_tokens: u64,
-    /// Dispatches received in this incarnation, to net out what was sent since the report.
+    /// Dispatches received in this incarnation from the process that reads the report, to net out
+    /// what that process sent since the report.
     pub received: u64,
     /// Share of the KV cache in use, in thousandths.
     pub cache_used_permille: u16,
