--- /dev/null
+++ b/components/agent/src/answer.rs
@@ -0,0 +1,83 @@
+//! The bytes of one answer that may still have to be sent again.
+//!
+//! Entries read an answer at their own pace and may come back on another connection, so bytes
+//! stay here until every reader has acknowledged them. The answer of a non-idempotent attempt
+//! is kept from its first byte, because another entry may ask for it from the start.
+
+use std::collections::VecDeque;
+
+use wire::AnswerDigest;
+use wire::Digest;
+
+/// Retained part of an answer, with the running digest of the whole.
+#[derive(Default)]
+pub struct Answer {
+    base: u64,
+    bytes: VecDeque<u8>,
+    digest: AnswerDigest,
+}
+
+impl Answer {
+    /// Takes the next bytes from the target.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.digest.push(bytes);
+        self.bytes.extend(bytes);
+    }
+
+    /// Position of the first byte still held.
+    #[must_use]
+    pub fn base(&self) -> u64 {
+        self.base
+    }
+
+    /// Bytes received from the target so far.
+    #[must_use]
+    pub fn length(&self) -> u64 {
+        self.digest.length()
+    }
+
+    /// Bytes held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Digest of all bytes received so far.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.digest.digest()
+    }
+
+    /// Copies at most `limit_bytes` from `offset`, which must not be below `base`.
+    #[must_use]
+    pub fn copy(&self, offset: u64, limit_bytes: u64) -> Vec<u8> {
+        let start = to_index(offset.saturating_sub(self.base)).min(self.bytes.len());
+        let end = start
+            .saturating_add(to_index(limit_bytes))
+            .min(self.bytes.len());
+        let (front, back) = self.bytes.as_slices();
+        let mut out = Vec::with_capacity(end - start);
+        if start < front.len() {
+            out.extend_from_slice(&front[start..end.min(front.len())]);
+        }
+        if end > front.len() {
+            out.extend_from_slice(&back[start.saturating_sub(front.len())..end - front.len()]);
+        }
+        out
+    }
+
+    /// Drops bytes below `offset`.
+    pub fn release(&mut self, offset: u64) {
+        let count = to_index(offset.saturating_sub(self.base)).min(self.bytes.len());
+        self.bytes.drain(..count);
+        self.base += count as u64;
+        if self.bytes.is_empty() {
+            // An idle answer must not keep the peak of its buffer.
+            self.bytes = VecDeque::new();
+        }
+    }
+}
+
+fn to_index(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/components/agent/src/orders.rs
@@ -0,0 +1,539 @@
+//! Registration and orders of one target.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::PlatformError;
+use types::Order;
+use types::OrderKind;
+use types::OrderNumber;
+use types::ServiceKind;
+use types::Target;
+use types::TargetState;
+
+use crate::change::Change;
+use crate::change::Stage;
+use crate::engine_view::EngineView;
+use crate::engine_view::Wanted;
+use crate::event::Action;
+use crate::event::EngineState;
+use crate::event::OrderOutcome;
+use crate::limits::Limits;
+use crate::limits::RETRY_MS;
+use crate::load::LoadBook;
+use crate::report::Note;
+use crate::row::RowEvent;
+use crate::row::TargetRow;
+
+/// Orders, and the row that records them.
+pub struct Orders {
+    limits: Rc<Limits>,
+    /// Hold on the target row.
+    pub row: TargetRow,
+    /// View of the engine.
+    pub engine: EngineView,
+    change: Option<Change>,
+    /// Order row as last read.
+    latest: Option<Order>,
+    /// Highest order that was started, in this run or according to the row.
+    started: OrderNumber,
+    /// An earlier run may have left orders on their way.
+    follows_a_run: bool,
+    /// An order sent before this time may still reach the engine.
+    quiet_until: Option<Instant>,
+    hold: Hold,
+}
+
+/// Whether this run holds the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hold {
+    /// It does, or will.
+    Kept,
+    /// The process stops; no new order is started.
+    Ending,
+    /// The row is to be given back.
+    Releasing,
+    /// The row is given back.
+    Released,
+    /// Another run holds the target.
+    Superseded,
+}
+
+impl Orders {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(limits: Rc<Limits>) -> Self {
+        Self {
+            row: TargetRow::new(limits.clone()),
+            limits,
+            engine: EngineView::default(),
+            change: None,
+            latest: None,
+            started: 0,
+            follows_a_run: false,
+            quiet_until: None,
+            hold: Hold::Kept,
+        }
+    }
+
+    fn is_model(&self) -> bool {
+        self.limits.kind == ServiceKind::Model
+    }
+
+    /// Whether this run holds the target.
+    #[must_use]
+    pub fn hold(&self) -> Hold {
+        self.hold
+    }
+
+    fn has_ended(&self) -> bool {
+        self.hold != Hold::Kept
+    }
+
+    /// No new order is started; one that is being passed to the engine gets its answer.
+    pub fn end(&mut self, hold: Hold) {
+        self.hold = hold;
+        self.change.take_if(|change| change.stage != Stage::Passing);
+    }
+
+    /// Whether an order may still reach the engine.
+    #[must_use]
+    pub fn is_quiet(&self, now: Instant) -> bool {
+        self.change.is_none() && self.quiet_until.is_none_or(|until| now >= until)
+    }
+
+    /// Gives the row back.
+    pub fn release(&mut self) {
+        if self.hold == Hold::Ending {
+            self.hold = Hold::Releasing;
+        }
+    }
+
+    /// Takes the engine's state, or its silence.
+    pub fn engine_state(&mut self, state: Result<EngineState, String>, out: &mut Vec<Action>) {
+        let detail = state.as_ref().err().cloned().unwrap_or_default();
+        let away = state.is_err();
+        if self.engine.answered(state.ok()) {
+            out.push(Action::Log(Note::EngineAway { away, detail }));
+        }
+    }
+
+    /// Takes the answer to a request for a slot.
+    pub fn slot(&mut self, now: Instant, result: &Result<Option<Duration>, PlatformError>) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        if change.stage != Stage::SlotAsked {
+            return;
+        }
+        match result {
+            Ok(None) => change.enter(now, Stage::Finish),
+            Ok(Some(wait)) => {
+                change.not_before = now + *wait;
+                change.enter(now, Stage::Slot);
+            }
+            Err(_) => {
+                change.not_before = now + RETRY_MS;
+                change.enter(now, Stage::Slot);
+            }
+        }
+    }
+
+    /// Takes the outcome of passing an order on.
+    pub fn passed(&mut self, now: Instant, outcome: OrderOutcome, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        if change.stage != Stage::Passing {
+            return;
+        }
+        let number = change.order.number;
+        self.engine.hurry();
+        let detail = match outcome {
+            OrderOutcome::Taken => {
+                change.enter(now, Stage::Verify(now));
+                None
+            }
+            OrderOutcome::Unanswered(detail) => {
+                self.quiet_until = Some(now + self.limits.order_settle_ms);
+                change.enter(now, Stage::Verify(now));
+                Some(detail)
+            }
+            OrderOutcome::Refused(detail) | OrderOutcome::NotSent(detail) => {
+                change.not_before = now + RETRY_MS;
+                change.enter(now, Stage::Confirm);
+                Some(detail)
+            }
+            OrderOutcome::Fenced(detail) => {
+                // The order's writer has lost its authority. A newer order has to come.
+                self.change = None;
+                Some(detail)
+            }
+        };
+        if let Some(detail) = detail {
+            out.push(Action::Log(Note::OrderFailed { number, detail }));
+        }
+        if self.has_ended() {
+            self.change = None;
+        }
+    }
+
+    /// Takes the result of a table call.
+    pub fn row_event(&mut self, now: Instant, event: RowEvent, out: &mut Vec<Action>) {
+        match event {
+            RowEvent::None => {}
+            RowEvent::Polled(began, order) => self.polled(now, began, order, out),
+            RowEvent::Plan(current) => self.plan(now, current, out),
+            RowEvent::Written(target) => self.written(now, &target, out),
+            RowEvent::Superseded(by) => {
+                self.end(Hold::Superseded);
+                out.push(Action::Log(Note::Superseded { by }));
+            }
+        }
+    }
+
+    fn polled(
+        &mut self,
+        now: Instant,
+        began: Instant,
+        order: Option<Order>,
+        out: &mut Vec<Action>,
+    ) {
+        let seen = self.latest.as_ref().map_or(0, |latest| latest.number);
+        let read = order.as_ref().map_or(0, |order| order.number);
+        if read < seen {
+            return;
+        }
+        self.latest = order;
+        self.supersede(out);
+        if self.has_ended() || !self.may_pass(now) {
+            return;
+        }
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        // The row as it stood after the target was empty, or the order must wait.
+        let is_confirmed = change.stage == Stage::Confirm
+            && began >= change.since.max(change.not_before)
+            && self.latest.as_ref() == Some(&change.order);
+        if !is_confirmed {
+            return;
+        }
+        change.enter(now, Stage::Passing);
+        let order = change.to_pass();
+        out.push(Action::Log(Note::OrderPassed {
+            number: order.number,
+            kind: format!("{:?}", order.kind),
+        }));
+        out.push(Action::PassOrder(order));
+    }
+
+    /// A newer order takes the place of one under way, unless that is being passed just now.
+    fn supersede(&mut self, out: &mut Vec<Action>) {
+        let Some(latest) = &self.latest else {
+            return;
+        };
+        let is_replaceable = self.change.as_ref().is_some_and(|change| {
+            change.order.number < latest.number && change.stage != Stage::Passing
+        });
+        if is_replaceable
+            && !self.row.is_writing()
+            && let Some(change) = self.change.take()
+        {
+            out.push(Action::Log(Note::OrderSuperseded {
+                number: change.order.number,
+                by: latest.number,
+            }));
+            // The engine may still be busy with the older one.
+            if matches!(change.stage, Stage::Verify(_)) {
+                self.engine.hurry();
+            }
+        }
+    }
+
+    /// Row to write, given the row that stands in the table.
+    fn plan(&mut self, now: Instant, current: Option<Target>, out: &mut Vec<Action>) {
+        if self.row.held.is_none() {
+            // A released row was given back after the last order of that run had ended.
+            self.follows_a_run = current.as_ref().is_some_and(|row| row.incarnation != 0);
+        }
+        let Some((after, reason)) = self.next_row(current) else {
+            return;
+        };
+        if self.row.commit(now, &after, &reason, out) {
+            self.written(now, &after, out);
+        }
+    }
+
+    fn next_row(&self, current: Option<Target>) -> Option<(Target, String)> {
+        if self.row.held.is_none() {
+            return Some((self.registration(current), "agent started".to_owned()));
+        }
+        let mut after = current?;
+        if self.hold == Hold::Releasing {
+            after.incarnation = 0;
+            return Some((after, "agent stopped".to_owned()));
+        }
+        match &self.change {
+            Some(change) if change.stage == Stage::Record => {
+                after.applied = change.order.number;
+                if let Some(state) = change.target_state() {
+                    after.state = state;
+                }
+                if let Some(wanted) = &change.wanted {
+                    after.loaded = wanted.loaded.clone();
+                    after.role = wanted.role;
+                }
+                Some((after, format!("order {} executed", change.order.number)))
+            }
+            _ => {
+                let state = self.engine.state().filter(|state| !state.away)?;
+                if after.applied > 0 || self.change.is_some() {
+                    return None;
+                }
+                after.loaded = state.loaded.clone();
+                after.role = state.role;
+                Some((after, "engine state read".to_owned()))
+            }
+        }
+    }
+
+    fn registration(&self, current: Option<Target>) -> Target {
+        let limits = &self.limits;
+        let engine = self.engine.state().cloned().unwrap_or_default();
+        let mut target = Target {
+            name: limits.target.clone(),
+            service: limits.service.clone(),
+            kind: limits.kind,
+            place: limits.place.clone(),
+            host: limits.host.clone(),
+            agent: limits.address,
+            incarnation: limits.incarnation,
+            honours_fencing: limits.honours_fencing,
+            state: TargetState::Active,
+            role: engine.role,
+            loaded: engine.loaded,
+            applied: 0,
+        };
+        if let Some(current) = current {
+            // A replaced target serves again once it stands on another host.
+            let is_replaced =
+                current.state == TargetState::Replacing && current.host != target.host;
+            if !is_replaced {
+                target.state = current.state;
+            }
+            target.applied = current.applied;
+            if current.applied > 0 {
+                target.loaded = current.loaded;
+                target.role = current.role;
+            }
+        }
+        target
+    }
+
+    fn written(&mut self, now: Instant, target: &Target, out: &mut Vec<Action>) {
+        if target.incarnation == 0 {
+            self.hold = Hold::Released;
+            out.push(Action::Log(Note::Released));
+            return;
+        }
+        if self.quiet_until.is_none() {
+            let settle_ms = if self.follows_a_run {
+                self.limits.order_settle_ms
+            } else {
+                Duration::ZERO
+            };
+            self.quiet_until = Some(now + settle_ms);
+            out.push(Action::Log(Note::Registered {
+                applied: target.applied,
+            }));
+        }
+        self.started = self.started.max(target.applied);
+        let is_recorded = self.change.as_ref().is_some_and(|change| {
+            change.stage == Stage::Record && change.order.number == target.applied
+        });
+        if is_recorded {
+            self.change = None;
+            out.push(Action::Log(Note::OrderDone {
+                number: target.applied,
+            }));
+        }
+    }
+
+    /// Does everything that is due.
+    pub fn advance(&mut self, now: Instant, in_service: usize, out: &mut Vec<Action>) {
+        if self.is_model() {
+            let changing = self.change.as_ref().is_some_and(Change::stops_work);
+            self.engine.poll(now, changing, out);
+        }
+        if !self.has_ended() {
+            self.take_next(now, out);
+            self.advance_change(now, in_service, out);
+        }
+        self.advance_row(now, out);
+    }
+
+    fn advance_row(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if matches!(self.hold, Hold::Superseded | Hold::Released) || !self.row.is_free(now) {
+            return;
+        }
+        let Some(held) = &self.row.held else {
+            if !self.has_ended() && (!self.is_model() || self.engine.state().is_some()) {
+                self.row.begin_write(now, out);
+            }
+            return;
+        };
+        let is_outdated = held.applied == 0
+            && self.change.is_none()
+            && self.engine.state().is_some_and(|state| {
+                !state.away && (state.loaded != held.loaded || state.role != held.role)
+            });
+        let records = self
+            .change
+            .as_ref()
+            .is_some_and(|change| change.stage == Stage::Record);
+        if self.hold == Hold::Releasing || (!self.has_ended() && (records || is_outdated)) {
+            self.row.begin_write(now, out);
+            return;
+        }
+        let confirms = self.change.as_ref().is_some_and(|change| {
+            change.stage == Stage::Confirm && now >= change.not_before && self.may_pass(now)
+        });
+        if confirms || self.row.is_poll_due(now) {
+            self.row.poll(now, out);
+        }
+    }
+
+    /// Whether nothing sent earlier can still reach the engine or be in progress there.
+    fn may_pass(&self, now: Instant) -> bool {
+        self.quiet_until.is_none_or(|until| now >= until)
+            && self.engine.state().is_some_and(|state| !state.away)
+    }
+
+    fn take_next(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let Some(held) = &self.row.held else {
+            return;
+        };
+        if self.change.is_some() {
+            return;
+        }
+        let recorded = Wanted {
+            loaded: held.loaded.clone(),
+            role: held.role,
+        };
+        let Some(latest) = &self.latest else {
+            return;
+        };
+        if latest.number > self.started {
+            if latest.kind.concerns_engine() && !self.is_model() {
+                return;
+            }
+            self.started = latest.number;
+            out.push(Action::Log(Note::OrderStarted {
+                number: latest.number,
+                kind: format!("{:?}", latest.kind),
+            }));
+            self.change = Some(Change::start(now, latest.clone(), &recorded));
+            return;
+        }
+        // A state that no order asked for is repaired only under the order in force.
+        if latest.number != held.applied || !self.is_model() {
+            return;
+        }
+        let state = self.engine.state().filter(|state| !state.away);
+        if let Some(step) = state.and_then(|state| recorded.repair(state)) {
+            out.push(Action::Log(Note::StateDiffers {
+                number: latest.number,
+            }));
+            self.change = Some(Change::repair(now, latest.clone(), recorded, step));
+        }
+    }
+
+    fn advance_change(&mut self, now: Instant, in_service: usize, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        match change.stage {
+            Stage::Slot if now >= change.not_before => {
+                if let Some((model, version)) = weights(change) {
+                    change.enter(now, Stage::SlotAsked);
+                    out.push(Action::ReserveSlot { model, version });
+                }
+            }
+            Stage::Finish if in_service == 0 => {
+                let next = if change.wanted.is_some() {
+                    Stage::Confirm
+                } else {
+                    Stage::Record
+                };
+                change.enter(now, next);
+            }
+            Stage::Verify(since) => self.verify(now, since, out),
+            _ => {}
+        }
+    }
+
+    fn verify(&mut self, now: Instant, since: Instant, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        let (Some(state), Some(wanted)) = (self.engine.settled_since(since), &change.wanted) else {
+            return;
+        };
+        match wanted.repair(state) {
+            Some(step) => {
+                out.push(Action::Log(Note::StateDiffers {
+                    number: change.order.number,
+                }));
+                change.repeat(now, step, now + RETRY_MS);
+            }
+            None if change.is_repair => self.change = None,
+            None => change.enter(now, Stage::Record),
+        }
+    }
+
+    /// Sets the target's part of the load report.
+    pub fn describe(&self, load: &mut LoadBook) {
+        let change = self.change.as_ref();
+        let state = self.engine.state();
+        let held = self.row.held.as_ref();
+        load.leaving = self.has_ended()
+            || held.is_some_and(|held| !held.state.accepts_work())
+            || change.is_some_and(|change| change.order.kind.ends_service());
+        load.applied = held.map_or(0, |held| held.applied);
+        let is_lost = held.is_some_and(|held| {
+            held.applied > 0
+                && change.is_none()
+                && state.is_some_and(|state| recorded(held).repair(state).is_some())
+        });
+        load.away = held.is_none()
+            || (self.is_model()
+                && (state.is_none_or(|state| state.away)
+                    || is_lost
+                    || change.is_some_and(Change::stops_work)));
+        if let Some(state) = state {
+            load.loaded.clone_from(&state.loaded);
+            load.role = state.role;
+        }
+    }
+}
+
+fn recorded(held: &Target) -> Wanted {
+    Wanted {
+        loaded: held.loaded.clone(),
+        role: held.role,
+    }
+}
+
+/// What a step loads from the weight store.
+fn weights(change: &Change) -> Option<(String, String)> {
+    match &change.step {
+        OrderKind::LoadModel { model, version } => Some((model.clone(), version.clone())),
+        OrderKind::LoadAdapter { adapter } => {
+            let wanted = change.wanted.as_ref()?;
+            Some((adapter.clone(), wanted.loaded.version.clone()))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/agent/src/runs.rs
@@ -0,0 +1,232 @@
+//! Progress of runs at the target, lost connections, and time limits.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use types::AttemptId;
+use types::RunState;
+use types::ServiceKind;
+use wire::Rejection;
+use wire::ToEntry;
+
+use crate::attempt::Phase;
+use crate::attempts::Attempts;
+use crate::event::Action;
+use crate::event::ConnectionId;
+use crate::event::RunId;
+use crate::event::TargetEvent;
+use crate::limits::ORPHAN_LIMIT_MS;
+use crate::limits::OVERRUN_LIMIT_MS;
+use crate::memory::Fate;
+use crate::report::Note;
+
+/// Finished answers of idempotent attempts that are kept at most.
+const KEPT_IDEMPOTENT_LIMIT: usize = 4096;
+const DETAIL_ORPHANED: &str = "no entry resumed the attempt in time";
+const DETAIL_OVERRUN: &str = "the target did not answer in time";
+
+impl Attempts {
+    /// Takes progress of a run. Events of a run that was given up are late and are dropped.
+    pub fn target(&mut self, now: Instant, run: RunId, event: TargetEvent, out: &mut Vec<Action>) {
+        let Some(id) = self.runs.get(&run).copied() else {
+            return;
+        };
+        match event {
+            TargetEvent::Head {
+                status,
+                content_type,
+            } => self.head(now, id, status, content_type, out),
+            TargetEvent::Bytes(bytes) => {
+                if let Some(attempt) = self.live.get_mut(&id) {
+                    attempt.reading = false;
+                    attempt.answer.push(&bytes);
+                    attempt.tail.push(&bytes);
+                }
+                self.relay(now, id, out);
+            }
+            TargetEvent::End => {
+                let usage = self.live.get(&id).map(|attempt| attempt.tail.usage());
+                self.finish(now, id, Phase::Done(usage.unwrap_or_default()));
+                self.relay(now, id, out);
+                self.start_next(now, out);
+                self.trim_kept(now);
+            }
+            TargetEvent::Failed { sent, detail } => self.run_failed(now, id, sent, detail, out),
+        }
+    }
+
+    fn head(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        status: u16,
+        content_type: String,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(attempt) = self.live.get_mut(&id) else {
+            return;
+        };
+        // An engine refuses with these before it runs anything. A plain service's own statuses
+        // prove nothing, and a non-idempotent answer is passed on as it is.
+        let refusal = match status {
+            429 => Some(Rejection::Overloaded),
+            503 => Some(Rejection::Away),
+            _ => None,
+        };
+        if let Some(reason) = refusal
+            && attempt.idempotent
+            && self.limits.kind == ServiceKind::Model
+        {
+            if let Some(attempt) = self.abort(id, out) {
+                self.recent.set(id, Fate::Forbidden);
+                self.reject_readers(now, &attempt, reason, out);
+            }
+            self.start_next(now, out);
+            return;
+        }
+        attempt.head = Some((status, content_type));
+        self.relay(now, id, out);
+    }
+
+    fn run_failed(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        sent: bool,
+        detail: String,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Log(Note::RunFailed {
+            attempt: id,
+            sent,
+            detail: detail.clone(),
+        }));
+        if sent {
+            self.finish(now, id, Phase::Failed(detail));
+            self.relay(now, id, out);
+        } else if let Some(attempt) = self.live.remove(&id) {
+            self.runs.remove(&attempt.run);
+            self.remember(id, attempt.idempotent, Fate::Forbidden);
+            self.update_counts();
+            self.reject_readers(now, &attempt, Rejection::Unreachable, out);
+        }
+        self.start_next(now, out);
+    }
+
+    /// The connection is gone; its entry may come back on another one.
+    pub fn disconnected(&mut self, now: Instant, connection: ConnectionId, out: &mut Vec<Action>) {
+        let mut affected: Vec<AttemptId> = Vec::new();
+        for attempt in self.live.values_mut() {
+            if attempt.detach(connection) {
+                if attempt.readers.is_empty() {
+                    attempt.orphaned = Some(now);
+                }
+                affected.push(attempt.id);
+            }
+        }
+        affected.sort_unstable();
+        for id in affected {
+            let receives = self
+                .live
+                .get(&id)
+                .is_some_and(|attempt| attempt.phase == Phase::Receiving);
+            if receives {
+                self.remove_waiting(id);
+            } else {
+                self.relay(now, id, out);
+            }
+        }
+    }
+
+    /// Applies time limits.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.expire_waiting(now, out);
+        self.expire_running(now, out);
+        self.trim_kept(now);
+        self.start_next(now, out);
+    }
+
+    fn expire_waiting(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.load.queued == 0 {
+            return;
+        }
+        let mut expired: Vec<AttemptId> = self
+            .live
+            .values()
+            .filter(|attempt| attempt.is_waiting() && now >= attempt.deadline)
+            .map(|attempt| attempt.id)
+            .collect();
+        expired.sort_unstable();
+        for id in expired {
+            self.reject_waiting(now, id, Rejection::DeadlineExceeded, out);
+        }
+    }
+
+    fn expire_running(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut expired: Vec<(AttemptId, &'static str)> = Vec::new();
+        for id in self.runs.values() {
+            let Some(attempt) = self.live.get(id) else {
+                continue;
+            };
+            let is_orphan = attempt.idempotent
+                && attempt
+                    .orphaned
+                    .is_some_and(|since| now >= since + ORPHAN_LIMIT_MS);
+            if is_orphan {
+                expired.push((*id, DETAIL_ORPHANED));
+            } else if now >= attempt.deadline + OVERRUN_LIMIT_MS {
+                expired.push((*id, DETAIL_OVERRUN));
+            }
+        }
+        expired.sort_unstable();
+        for (id, detail) in expired {
+            out.push(Action::Log(Note::RunFailed {
+                attempt: id,
+                sent: true,
+                detail: detail.to_owned(),
+            }));
+            let Some(attempt) = self.abort(id, out) else {
+                continue;
+            };
+            for reader in &attempt.readers {
+                out.push(Action::Send {
+                    connection: reader.connection,
+                    message: ToEntry::Failed {
+                        attempt: id,
+                        run: RunState::Unknown,
+                        detail: detail.to_owned(),
+                    },
+                });
+            }
+        }
+    }
+
+    /// Drops finished answers past their time or beyond the limits, the oldest first. Answers
+    /// that an attached entry still reads stay.
+    fn trim_kept(&mut self, now: Instant) {
+        // Idempotent ones go first: they can be had again.
+        let idempotent_ms = self.limits.kept_idempotent_ms;
+        self.trim_one(now, 1, idempotent_ms, KEPT_IDEMPOTENT_LIMIT);
+        self.trim_one(now, 0, self.limits.kept_ms, self.limits.kept_count_limit);
+    }
+
+    fn trim_one(&mut self, now: Instant, index: usize, kept_ms: Duration, count_limit: usize) {
+        let mut still_read = Vec::new();
+        while let Some((since, id)) = self.finished[index].front().copied() {
+            let is_due = now >= since + kept_ms
+                || self.finished[index].len() > count_limit
+                || self.kept_bytes > self.limits.kept_total_limit_bytes;
+            if !is_due {
+                break;
+            }
+            self.finished[index].pop_front();
+            match self.live.get(&id) {
+                Some(attempt) if attempt.is_undelivered() => still_read.push((since, id)),
+                _ => self.drop_finished(id),
+            }
+        }
+        for entry in still_read.into_iter().rev() {
+            self.finished[index].push_front(entry);
+        }
+    }
+}
