--- /dev/null
+++ b/components/request/src/answer.rs
@@ -0,0 +1,158 @@
+//! Assembly of one answer from the chunks of its attempts.
+//!
+//! Bytes that callers have are never sent twice. A later attempt starts again at offset 0; its
+//! bytes are held back until they have reproduced what callers already have.
+
+use wire::AnswerDigest;
+use wire::Digest;
+
+/// Status and media type of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+}
+
+/// What became of a part of an answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// New for the callers.
+    Fresh(Vec<u8>),
+    /// Nothing new.
+    Nothing,
+    /// Something before it is missing; the agent has to send from `received` again.
+    Gap,
+    /// It contradicts what callers already have, or its own digest.
+    Mismatch,
+}
+
+/// Answer of one run, over all of its attempts.
+#[derive(Default)]
+pub struct Answer {
+    head: Option<AnswerHead>,
+    head_of_attempt: bool,
+    current: AnswerDigest,
+    relayed: u64,
+    prefix: Option<(u64, Digest)>,
+    kept: Option<Vec<u8>>,
+    keep_limit_bytes: usize,
+}
+
+impl Answer {
+    /// Keeps the bytes as well, up to a limit, for joiners and for storage.
+    #[must_use]
+    pub fn keeping(limit_bytes: usize) -> Self {
+        Self {
+            kept: Some(Vec::new()),
+            keep_limit_bytes: limit_bytes,
+            ..Self::default()
+        }
+    }
+
+    /// Status and media type, once known.
+    #[must_use]
+    pub fn head(&self) -> Option<&AnswerHead> {
+        self.head.as_ref()
+    }
+
+    /// Bytes of the current attempt.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.current.length()
+    }
+
+    /// All bytes so far, unless the limit was exceeded.
+    #[must_use]
+    pub fn kept(&self) -> Option<&[u8]> {
+        self.kept.as_deref()
+    }
+
+    /// Bytes handed to callers.
+    #[must_use]
+    pub fn relayed(&self) -> u64 {
+        self.relayed
+    }
+
+    /// A new attempt begins.
+    pub fn restart(&mut self) {
+        let held = std::mem::take(&mut self.current);
+        self.head_of_attempt = false;
+        // An attempt that was lost while it still repeated the prefix does not shorten it.
+        if held.length() >= self.relayed && self.relayed > 0 {
+            self.prefix = Some((self.relayed, held.digest()));
+        }
+    }
+
+    /// The attempt's head arrived. `Fresh` (empty) if callers do not have one yet.
+    pub fn take_head(&mut self, head: AnswerHead) -> Progress {
+        self.head_of_attempt = true;
+        match &self.head {
+            None => {
+                self.head = Some(head);
+                Progress::Fresh(Vec::new())
+            }
+            Some(known) if *known == head => Progress::Nothing,
+            Some(_) => Progress::Mismatch,
+        }
+    }
+
+    /// Bytes of the attempt arrived.
+    pub fn take_chunk(&mut self, offset: u64, mut bytes: Vec<u8>) -> Progress {
+        let received = self.received();
+        if !self.head_of_attempt || offset > received {
+            return Progress::Gap;
+        }
+        let known = usize::try_from(received - offset).unwrap_or(usize::MAX);
+        if bytes.len() <= known {
+            return Progress::Nothing;
+        }
+        bytes.drain(..known);
+        self.take_next(bytes)
+    }
+
+    fn take_next(&mut self, mut bytes: Vec<u8>) -> Progress {
+        if let Some((length, digest)) = self.prefix {
+            let missing = length - self.received();
+            let repeated = usize::try_from(missing).map_or(bytes.len(), |n| n.min(bytes.len()));
+            self.current.push(&bytes[..repeated]);
+            bytes.drain(..repeated);
+            if self.received() == length {
+                if self.current.digest() != digest {
+                    return Progress::Mismatch;
+                }
+                self.prefix = None;
+            }
+        }
+        if bytes.is_empty() {
+            return Progress::Nothing;
+        }
+        self.current.push(&bytes);
+        self.relayed += bytes.len() as u64;
+        self.keep(&bytes);
+        Progress::Fresh(bytes)
+    }
+
+    fn keep(&mut self, bytes: &[u8]) {
+        if let Some(kept) = &mut self.kept {
+            if kept.len() + bytes.len() > self.keep_limit_bytes {
+                self.kept = None;
+            } else {
+                kept.extend_from_slice(bytes);
+            }
+        }
+    }
+
+    /// The attempt's end arrived. `Nothing` means that the answer is whole.
+    #[must_use]
+    pub fn take_end(&self, length: u64, digest: &Digest) -> Progress {
+        if !self.head_of_attempt || self.received() < length {
+            return Progress::Gap;
+        }
+        if self.received() > length || self.prefix.is_some() || self.current.digest() != *digest {
+            return Progress::Mismatch;
+        }
+        Progress::Nothing
+    }
+}
--- /dev/null
+++ b/components/request/src/connections.rs
@@ -0,0 +1,122 @@
+//! Connections to agents that break and come back, and runs of agents that end.
+
+use std::time::Duration;
+
+use types::AttemptId;
+use types::Incarnation;
+use types::RequestId;
+use types::TargetName;
+use wire::ToAgent;
+
+use crate::action::Action;
+use crate::requests::Context;
+use crate::requests::Requests;
+use crate::requests::Timer;
+use crate::router::Settlement;
+
+/// Time for a lost connection to come back before an idempotent attempt is moved. A connection
+/// is already lost only after 2 s of silence, so little more is spent on the same target.
+const RECONNECT_MS: Duration = Duration::from_millis(500);
+
+impl Requests {
+    pub(crate) fn connection_up(
+        &mut self,
+        cx: &mut Context,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        let earlier = self.runs_at(target, |known| known != incarnation);
+        self.connections.insert(target.clone(), incarnation);
+        for id in earlier {
+            self.attempt_lost(cx, id);
+        }
+        for id in self.runs_at(target, |known| known == incarnation) {
+            self.reattach(cx, id);
+        }
+        self.pump_due = true;
+    }
+
+    /// Continues an attempt on a new connection.
+    fn reattach(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(attempt) = self.runs.get(&id).and_then(|run| run.attempt.as_ref()) else {
+            return;
+        };
+        if attempt.acknowledged {
+            self.send_resume(cx, id);
+            return;
+        }
+        // The dispatch may have been lost with the connection. `Forbid` tells which, and stops
+        // a copy of it that is still under way.
+        cx.actions.push(Action::Send {
+            target: attempt.target.clone(),
+            message: ToAgent::Forbid {
+                attempt: attempt.id,
+                incarnation: attempt.incarnation,
+            },
+        });
+    }
+
+    pub(crate) fn connection_down(&mut self, cx: &mut Context, target: &TargetName) {
+        self.connections.remove(target);
+        for id in self.runs_at(target, |_| true) {
+            let Some(run) = self.runs.get(&id) else {
+                continue;
+            };
+            if let Some(attempt) = &run.attempt
+                && run.idempotent
+            {
+                let timer = Timer::Reconnect(attempt.id);
+                self.timers.insert((cx.now + RECONNECT_MS, timer));
+            }
+        }
+    }
+
+    /// The connection did not come back in time: moves an idempotent attempt.
+    pub(crate) fn reconnect_overdue(&mut self, cx: &mut Context, attempt: AttemptId) {
+        let Some(&id) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let connected = self
+            .runs
+            .get(&id)
+            .and_then(|run| run.attempt.as_ref())
+            .is_some_and(|current| self.connections.contains_key(&current.target));
+        if !connected {
+            self.attempt_lost(cx, id);
+        }
+    }
+
+    pub(crate) fn incarnation_gone(
+        &mut self,
+        cx: &mut Context,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        if self.connections.get(target) == Some(&incarnation) {
+            self.connections.remove(target);
+        }
+        for id in self.runs_at(target, |known| known == incarnation) {
+            self.attempt_lost(cx, id);
+        }
+    }
+
+    fn attempt_lost(&mut self, cx: &mut Context, id: RequestId) {
+        self.cancel_attempt(cx, id, Settlement::Failed);
+        self.after_failure(cx, id, "the target was lost");
+    }
+
+    /// Runs with an attempt at some run of a target, in order of their ids.
+    fn runs_at(&self, target: &TargetName, of: impl Fn(Incarnation) -> bool) -> Vec<RequestId> {
+        let mut found: Vec<RequestId> = self
+            .attempts
+            .values()
+            .filter(|id| {
+                let attempt = self.runs.get(id).and_then(|run| run.attempt.as_ref());
+                attempt.is_some_and(|a| a.target == *target && of(a.incarnation))
+            })
+            .copied()
+            .collect();
+        found.sort_unstable();
+        found
+    }
+}
--- /dev/null
+++ b/components/request/src/dispatch.rs
@@ -0,0 +1,228 @@
+//! Choice of a target for those that wait, and the dispatch of attempts.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use types::AttemptId;
+use types::Incarnation;
+use types::RefusalReason;
+use types::RequestId;
+use types::TargetName;
+use wire::Dispatch;
+use wire::ToAgent;
+
+use crate::action::Action;
+use crate::refusal::Ending;
+use crate::refusal::RETRY_MS;
+use crate::requests::Context;
+use crate::requests::QueueKey;
+use crate::requests::Requests;
+use crate::requests::Timer;
+use crate::router::Choice;
+use crate::router::Settlement;
+use crate::run::Attempt;
+use crate::run::Phase;
+use crate::run::Run;
+
+/// Bytes of an answer that may be under way between an agent and a caller.
+pub(crate) const WINDOW_BYTES: u64 = 64 << 10;
+/// Part of a body that goes into one frame; far below `wire::MAX_FRAME_BYTES`, so that a long
+/// body does not hold up other frames.
+const BODY_FRAME_BYTES: usize = 256 << 10;
+/// Time between looks at the retry budget.
+const BUDGET_POLL_MS: Duration = Duration::from_millis(200);
+/// Shortest time before the router is asked again.
+const MIN_PUMP_MS: Duration = Duration::from_millis(1);
+
+impl Requests {
+    /// Dispatches those that wait, as far as the router finds targets.
+    pub(crate) fn pump(&mut self, cx: &mut Context) {
+        let mut blocked: HashSet<QueueKey> = HashSet::new();
+        let mut retry_ms: Option<Duration> = None;
+        while let Some((key, id)) = self.next_waiting(cx, &blocked) {
+            let Some(run) = self.runs.get(&id) else {
+                self.leave_queue(&key, id);
+                continue;
+            };
+            match cx.router.choose(cx.now, &run.need, &run.tried) {
+                Choice::Target {
+                    target,
+                    incarnation,
+                    ..
+                } => {
+                    if let Some(queue) = self.queues.get_mut(&key) {
+                        queue.depart(cx.now, id);
+                    }
+                    self.start(cx, id, target, incarnation);
+                }
+                Choice::Wait { retry_ms: wait } => {
+                    let wait = wait.max(MIN_PUMP_MS);
+                    retry_ms = Some(retry_ms.map_or(wait, |known| known.min(wait)));
+                    blocked.insert(key);
+                }
+                Choice::Infeasible { retry_ms: wait } => {
+                    let detail = "no target can finish the request by its deadline";
+                    let refusal = Ending::new(RefusalReason::Overloaded, Some(wait), detail);
+                    self.refuse(cx, id, &refusal);
+                }
+                Choice::Never => {
+                    let detail = "the service has no target that can take the request";
+                    let refusal = Ending::new(RefusalReason::NoTarget, Some(RETRY_MS), detail);
+                    self.refuse(cx, id, &refusal);
+                }
+            }
+        }
+        self.queues.retain(|_, queue| !queue.is_forgettable());
+        if let Some(wait) = retry_ms {
+            self.timers.retain(|(_, timer)| *timer != Timer::Pump);
+            self.set_timer(cx.now + wait, Timer::Pump);
+        }
+    }
+
+    fn next_waiting(
+        &mut self,
+        cx: &Context,
+        blocked: &HashSet<QueueKey>,
+    ) -> Option<(QueueKey, RequestId)> {
+        self.queues
+            .iter_mut()
+            .filter(|(key, _)| !blocked.contains(key))
+            .filter_map(|(key, queue)| queue.first(cx.now).map(|first| (first, key)))
+            .min_by_key(|(first, _)| *first)
+            .map(|((_, _, id), key)| (key.clone(), id))
+    }
+
+    fn leave_queue(&mut self, key: &QueueKey, id: RequestId) {
+        if let Some(queue) = self.queues.get_mut(key) {
+            queue.remove(id);
+        }
+    }
+
+    /// A target was found.
+    fn start(
+        &mut self,
+        cx: &mut Context,
+        id: RequestId,
+        target: TargetName,
+        incarnation: Incarnation,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.attempts += 1;
+        let attempt = AttemptId {
+            request: id,
+            number: run.attempts,
+        };
+        self.dispatch(cx, id, attempt, target, incarnation);
+    }
+
+    pub(crate) fn dispatch(
+        &mut self,
+        cx: &mut Context,
+        id: RequestId,
+        attempt: AttemptId,
+        target: TargetName,
+        incarnation: Incarnation,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.phase = Phase::Running;
+        run.answer.restart();
+        run.tried.push(target.clone());
+        let granted = run.consumed() + WINDOW_BYTES;
+        for message in messages(cx, run, attempt, incarnation, granted) {
+            let target = target.clone();
+            cx.actions.push(Action::Send { target, message });
+        }
+        cx.router.dispatched(cx.now, &target, attempt, &run.need);
+        run.attempt = Some(Attempt {
+            id: attempt,
+            target,
+            incarnation,
+            acknowledged: false,
+            granted,
+            resumed_at: None,
+            own: true,
+        });
+        self.attempts.insert(attempt, id);
+    }
+
+    /// Ends the attempt in progress and forgets it; its late messages are dropped from now on.
+    pub(crate) fn end_attempt(&mut self, cx: &mut Context, id: RequestId, end: Settlement) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = run.attempt.take() else {
+            return;
+        };
+        run.touched |= end != Settlement::Rejected;
+        self.attempts.remove(&attempt.id);
+        if attempt.own {
+            cx.router.settled(cx.now, &attempt.target, attempt.id, end);
+        }
+        self.pump_due = true;
+    }
+
+    /// Ends the attempt in progress and tells the agent that its answer is not wanted.
+    pub(crate) fn cancel_attempt(&mut self, cx: &mut Context, id: RequestId, end: Settlement) {
+        if let Some(attempt) = self.runs.get(&id).and_then(|run| run.attempt.as_ref()) {
+            cx.actions.push(Action::Send {
+                target: attempt.target.clone(),
+                message: ToAgent::Cancel {
+                    attempt: attempt.id,
+                },
+            });
+        }
+        self.end_attempt(cx, id, end);
+    }
+
+    /// Tries a run again that is proved not to have run, or may run twice.
+    pub(crate) fn retry(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let budget = self.budgets.entry(run.need.service.clone()).or_default();
+        if budget.take(cx.now) {
+            self.enqueue(cx, id);
+            return;
+        }
+        run.phase = Phase::Delayed;
+        self.set_timer(cx.now + BUDGET_POLL_MS, Timer::Budget);
+    }
+}
+
+fn messages(
+    cx: &Context,
+    run: &Run,
+    attempt: AttemptId,
+    incarnation: Incarnation,
+    granted: u64,
+) -> Vec<ToAgent> {
+    let mut work = run.submission.work.clone();
+    let body_bytes = work.body.len() as u64;
+    let rest = if work.body.len() > BODY_FRAME_BYTES {
+        work.body.split_off(BODY_FRAME_BYTES)
+    } else {
+        Vec::new()
+    };
+    let dispatch = Dispatch {
+        attempt,
+        incarnation,
+        revision: run.terms.revision,
+        needs: run.need.needs.clone(),
+        deadline_ms: run.deadline().saturating_duration_since(cx.now),
+        priority: run.need.priority,
+        idempotent: run.idempotent,
+        credit_bytes: u32::try_from(granted).unwrap_or(u32::MAX),
+        work,
+        body_bytes,
+    };
+    let mut messages = vec![ToAgent::Dispatch(Box::new(dispatch))];
+    messages.extend(rest.chunks(BODY_FRAME_BYTES).map(|bytes| ToAgent::Body {
+        attempt,
+        bytes: bytes.to_vec(),
+    }));
+    messages
+}
--- a/components/request/src/event.rs
+++ b/components/request/src/event.rs
@@ -83,6 +83,8 @@
         /// Its end.
         result: Result<TableReply, PlatformError>,
     },
+    /// The process is stopping: new requests are refused, and those in flight finish.
+    Leaving,
     /// Time passed.
     Tick,
 }
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -3,14 +3,26 @@
 //! A state machine without I/O. The entry feeds it events and carries out its actions.
 
 pub mod action;
+pub mod answer;
+pub mod budget;
+mod connections;
+mod dispatch;
 pub mod event;
+mod finish;
+pub mod queue;
+mod refusal;
+mod relay;
+pub mod requests;
 pub mod router;
+mod run;
+mod submit;
 
 pub use action::Action;
 pub use action::Outcome;
 pub use action::Summary;
 pub use event::Event;
 pub use event::Terms;
+pub use requests::Requests;
 pub use router::Choice;
 pub use router::Need;
 pub use router::Router;
--- /dev/null
+++ b/components/request/src/refusal.rs
@@ -0,0 +1,47 @@
+//! Refusals with their run state, time to come back and one sentence for the developer.
+
+use std::time::Duration;
+
+use types::Refusal;
+use types::RefusalReason;
+use types::RunState;
+
+/// Time to come back after a fault that usually passes within seconds.
+pub(crate) const RETRY_MS: Duration = Duration::from_secs(1);
+
+/// Why a run ends without a whole answer. What is said about its execution is taken from the
+/// run itself, so that no refusal claims more than is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ending<'a> {
+    pub reason: RefusalReason,
+    pub retry_after_ms: Option<Duration>,
+    pub detail: &'a str,
+}
+
+impl<'a> Ending<'a> {
+    pub fn new(reason: RefusalReason, retry_after_ms: Option<Duration>, detail: &'a str) -> Self {
+        Self {
+            reason,
+            retry_after_ms,
+            detail,
+        }
+    }
+
+    pub fn refusal(&self, run: RunState) -> Refusal {
+        Refusal {
+            reason: self.reason,
+            run,
+            retry_after_ms: self.retry_after_ms,
+            detail: self.detail.to_owned(),
+        }
+    }
+}
+
+/// A refusal of a request that was not run and will not be.
+pub(crate) fn not_run(
+    reason: RefusalReason,
+    retry_after_ms: Option<Duration>,
+    detail: &str,
+) -> Refusal {
+    Ending::new(reason, retry_after_ms, detail).refusal(RunState::NotRun)
+}
--- /dev/null
+++ b/components/request/src/relay.rs
@@ -0,0 +1,250 @@
+//! Messages of agents about attempts, and the relay of answers to callers.
+
+use types::AttemptId;
+use types::Incarnation;
+use types::Reply;
+use types::RequestId;
+use types::RunState;
+use types::TargetName;
+use types::Usage;
+use wire::ForbidOutcome;
+use wire::ToAgent;
+use wire::ToEntry;
+
+use crate::action::Action;
+use crate::answer::AnswerHead;
+use crate::answer::Progress;
+use crate::dispatch::WINDOW_BYTES;
+use crate::requests::Context;
+use crate::requests::Requests;
+use crate::router::Settlement;
+
+/// Credit is granted in steps of at least this, so that it costs few frames.
+const CREDIT_STEP_BYTES: u64 = WINDOW_BYTES / 4;
+
+impl Requests {
+    pub(crate) fn agent_message(
+        &mut self,
+        cx: &mut Context,
+        target: &TargetName,
+        incarnation: Incarnation,
+        message: ToEntry,
+    ) {
+        let Some(attempt) = attempt_of(&message) else {
+            return;
+        };
+        let Some(id) = self.current(attempt, target, incarnation) else {
+            return;
+        };
+        match message {
+            ToEntry::Rejected { .. } => self.attempt_rejected(cx, id),
+            ToEntry::Failed { run, detail, .. } => match run {
+                RunState::NotRun => self.attempt_rejected(cx, id),
+                RunState::Unknown => self.attempt_failed(cx, id, &detail),
+            },
+            ToEntry::Head {
+                status,
+                content_type,
+                ..
+            } => {
+                let head = AnswerHead {
+                    status,
+                    content_type,
+                };
+                let progress = self.acknowledge(id).map(|run| run.answer.take_head(head));
+                self.progressed(cx, id, progress);
+            }
+            ToEntry::Chunk { offset, bytes, .. } => {
+                let progress = self
+                    .acknowledge(id)
+                    .map(|run| run.answer.take_chunk(offset, bytes));
+                self.progressed(cx, id, progress);
+            }
+            ToEntry::End {
+                length,
+                digest,
+                usage,
+                ..
+            } => {
+                let progress = self
+                    .acknowledge(id)
+                    .map(|run| run.answer.take_end(length, &digest));
+                self.ended(cx, id, progress, usage);
+            }
+            ToEntry::Forbidden { outcome, .. } => match outcome {
+                ForbidOutcome::NeverRun => self.attempt_rejected(cx, id),
+                ForbidOutcome::Started => {
+                    self.acknowledge(id);
+                    self.send_resume(cx, id);
+                }
+                ForbidOutcome::Lost => self.attempt_failed(cx, id, "the answer is lost"),
+            },
+            ToEntry::Accepted { .. } => {
+                self.acknowledge(id);
+            }
+            _ => {}
+        }
+    }
+
+    /// Run of an attempt in progress at that run of the target.
+    fn current(
+        &self,
+        attempt: AttemptId,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) -> Option<RequestId> {
+        let id = *self.attempts.get(&attempt)?;
+        let current = self.runs.get(&id)?.attempt.as_ref()?;
+        let same = current.id == attempt
+            && current.target == *target
+            && current.incarnation == incarnation;
+        same.then_some(id)
+    }
+
+    fn acknowledge(&mut self, id: RequestId) -> Option<&mut crate::run::Run> {
+        let run = self.runs.get_mut(&id)?;
+        if let Some(attempt) = &mut run.attempt {
+            attempt.acknowledged = true;
+        }
+        Some(run)
+    }
+
+    fn progressed(&mut self, cx: &mut Context, id: RequestId, progress: Option<Progress>) {
+        match progress {
+            Some(Progress::Fresh(bytes)) => self.relay(cx, id, &bytes),
+            Some(Progress::Gap) => self.resume(cx, id),
+            Some(Progress::Mismatch) => self.answer_contradicted(cx, id),
+            Some(Progress::Nothing) | None => {}
+        }
+        self.grant(cx, id);
+    }
+
+    fn ended(&mut self, cx: &mut Context, id: RequestId, progress: Option<Progress>, usage: Usage) {
+        match progress {
+            Some(Progress::Nothing) => {
+                self.end_attempt(cx, id, Settlement::Answered(usage));
+                self.answered(cx, id, usage);
+            }
+            other => self.progressed(cx, id, other),
+        }
+    }
+
+    fn relay(&mut self, cx: &mut Context, id: RequestId, bytes: &[u8]) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let served_by = run.tried.last().cloned().unwrap_or_default();
+        for waiter in &mut run.waiters {
+            let request = waiter.request;
+            if let Some(head) = run.answer.head()
+                && !waiter.head_sent
+            {
+                waiter.head_sent = true;
+                let reply = Reply::Head {
+                    status: head.status,
+                    content_type: head.content_type.clone(),
+                    served_by: served_by.clone(),
+                };
+                cx.actions.push(Action::Reply { request, reply });
+            }
+            if bytes.is_empty() {
+                continue;
+            }
+            let since = cx.now.saturating_duration_since(waiter.accepted);
+            waiter.first_byte_ms.get_or_insert(since);
+            waiter.sent += bytes.len() as u64;
+            let reply = Reply::Body(bytes.to_vec());
+            cx.actions.push(Action::Reply { request, reply });
+        }
+    }
+
+    /// A caller's socket took bytes.
+    pub(crate) fn consumed(&mut self, cx: &mut Context, request: RequestId, bytes: u64) {
+        let Some(&id) = self.waiting.get(&request) else {
+            return;
+        };
+        if let Some(run) = self.runs.get_mut(&id)
+            && let Some(waiter) = run.waiters.iter_mut().find(|w| w.request == request)
+        {
+            waiter.consumed = waiter.sent.min(waiter.consumed + bytes);
+        }
+        self.grant(cx, id);
+    }
+
+    /// Lets the agent send as much as callers have taken.
+    pub(crate) fn grant(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let allowed = run.consumed() + WINDOW_BYTES;
+        let received = run.answer.received();
+        let Some(attempt) = &mut run.attempt else {
+            return;
+        };
+        let more = allowed.saturating_sub(attempt.granted);
+        if more < CREDIT_STEP_BYTES {
+            return;
+        }
+        attempt.granted = allowed;
+        cx.actions.push(Action::Send {
+            target: attempt.target.clone(),
+            message: ToAgent::Credit {
+                attempt: attempt.id,
+                received,
+                bytes: u32::try_from(more).unwrap_or(u32::MAX),
+            },
+        });
+    }
+
+    /// Asks the agent once for what is missing at the offset held.
+    fn resume(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let received = run.answer.received();
+        match &mut run.attempt {
+            Some(attempt) if attempt.resumed_at != Some(received) => {
+                attempt.resumed_at = Some(received);
+            }
+            _ => return,
+        }
+        self.send_resume(cx, id);
+    }
+
+    /// Asks the agent to send on this connection from the offset held.
+    pub(crate) fn send_resume(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let offset = run.answer.received();
+        let allowed = run.consumed().max(offset.saturating_sub(WINDOW_BYTES)) + WINDOW_BYTES;
+        let Some(attempt) = &mut run.attempt else {
+            return;
+        };
+        attempt.granted = allowed;
+        cx.actions.push(Action::Send {
+            target: attempt.target.clone(),
+            message: ToAgent::Resume {
+                attempt: attempt.id,
+                offset,
+                credit_bytes: u32::try_from(allowed - offset).unwrap_or(u32::MAX),
+            },
+        });
+    }
+}
+
+/// Attempt that a message is about.
+fn attempt_of(message: &ToEntry) -> Option<AttemptId> {
+    match message {
+        ToEntry::Accepted { attempt }
+        | ToEntry::Rejected { attempt, .. }
+        | ToEntry::Head { attempt, .. }
+        | ToEntry::Chunk { attempt, .. }
+        | ToEntry::End { attempt, .. }
+        | ToEntry::Failed { attempt, .. }
+        | ToEntry::Forbidden { attempt, .. } => Some(*attempt),
+        ToEntry::Welcome { .. } | ToEntry::Load(_) | ToEntry::Cache(_) | ToEntry::Pong { .. } => {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/components/request/src/run.rs
@@ -0,0 +1,137 @@
+//! One run: the work of one request, and of the resends that joined it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+use types::AttemptId;
+use types::Incarnation;
+use types::Loaded;
+use types::RequestId;
+use types::RunState;
+use types::ServiceKind;
+use types::Submission;
+use types::TargetName;
+
+use crate::answer::Answer;
+use crate::event::Terms;
+use crate::router::Need;
+
+/// A caller that waits for the answer.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub request: RequestId,
+    pub accepted: Instant,
+    pub deadline: Instant,
+    pub head_sent: bool,
+    pub sent: u64,
+    pub consumed: u64,
+    pub first_byte_ms: Option<Duration>,
+}
+
+/// The attempt in progress.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub id: AttemptId,
+    pub target: TargetName,
+    pub incarnation: Incarnation,
+    /// The agent has said that it holds the attempt.
+    pub acknowledged: bool,
+    /// Offset up to which the agent may send.
+    pub granted: u64,
+    /// Offset from which the agent was asked to send again.
+    pub resumed_at: Option<u64>,
+    /// Sent by this entry, so the router keeps account of it.
+    pub own: bool,
+}
+
+/// Where a run stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// In the admission queue.
+    Queued,
+    /// Waits for the retry budget.
+    Delayed,
+    /// An attempt is in progress.
+    Running,
+}
+
+/// One run.
+pub(crate) struct Run {
+    pub id: RequestId,
+    pub submission: Submission,
+    pub terms: Terms,
+    pub need: Need,
+    pub idempotent: bool,
+    pub waiters: SmallVec<[Waiter; 1]>,
+    pub phase: Phase,
+    pub attempts: u32,
+    pub tried: SmallVec<[TargetName; 2]>,
+    pub attempt: Option<Attempt>,
+    pub answer: Answer,
+    pub accepted: Instant,
+    /// An earlier attempt may have run, in part or whole.
+    pub touched: bool,
+}
+
+impl Run {
+    /// Time by which the last caller wants its answer.
+    pub fn deadline(&self) -> Instant {
+        self.need.deadline
+    }
+
+    /// What may be said of the run if it ended now.
+    pub fn state(&self) -> RunState {
+        if self.touched || self.attempt.is_some() {
+            return RunState::Unknown;
+        }
+        RunState::NotRun
+    }
+
+    /// Offset up to which the slowest caller has taken the answer.
+    pub fn consumed(&self) -> u64 {
+        let slowest = self.waiters.iter().map(|waiter| waiter.consumed).min();
+        slowest.unwrap_or_else(|| self.answer.received())
+    }
+}
+
+/// What a target must have for a submission.
+pub(crate) fn need_of(submission: &Submission, terms: &Terms, deadline: Instant) -> Need {
+    let work = &submission.work;
+    Need {
+        service: work.service.clone(),
+        kind: terms.kind,
+        needs: loaded_for(submission, terms),
+        priority: terms.profile.priority,
+        prompt_tokens: work.prompt_tokens,
+        max_output_tokens: work.max_output_tokens,
+        prefixes: work.prefixes.clone(),
+        deadline,
+        concurrency_limit: terms.profile.concurrency_limit,
+        cache_affinity: terms.profile.cache_affinity,
+    }
+}
+
+fn loaded_for(submission: &Submission, terms: &Terms) -> Loaded {
+    let profile = &terms.profile;
+    if terms.kind == ServiceKind::Plain {
+        return Loaded::default();
+    }
+    let named = &submission.work.model;
+    if !named.is_empty() && *named != profile.model {
+        return Loaded {
+            model: named.clone(),
+            ..Loaded::default()
+        };
+    }
+    let adapters = if profile.adapter.is_empty() {
+        Vec::new()
+    } else {
+        vec![profile.adapter.clone()]
+    };
+    Loaded {
+        model: profile.model.clone(),
+        version: profile.version.clone(),
+        adapters,
+    }
+}
