--- /dev/null
+++ b/components/platform/src/client.rs
@@ -0,0 +1,267 @@
+//! HTTP clients of the platform's services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Client;
+use http::ClientError;
+use http::ClientLimits;
+use http::Problem;
+use http::WholeResponse;
+use http_types::Method;
+use http_types::StatusCode;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
+
+use crate::PlatformError;
+use crate::PlatformFuture;
+use crate::hosts::HostEntry;
+use crate::hosts::HostList;
+use crate::objects::ObjectStore;
+use crate::table::Table;
+use crate::table::TableReply;
+use crate::table::TableRequest;
+use crate::weights::WeightStore;
+
+/// Characters of a path segment that are written as they are; RFC 3986 calls them unreserved.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+/// Media type of table requests.
+const JSON: &str = "application/json";
+/// Media type of objects.
+const BYTES: &str = "application/octet-stream";
+/// Wait for the weight store when it does not say how long.
+const WEIGHT_WAIT_MS: Duration = Duration::from_secs(1);
+
+/// Limits of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HttpOptions {
+    /// Longest time to open a connection.
+    pub connect_ms: Duration,
+    /// Longest time to wait for an answer, and between its parts.
+    pub answer_ms: Duration,
+    /// Largest answer.
+    pub body_limit_bytes: usize,
+}
+
+impl Default for HttpOptions {
+    fn default() -> Self {
+        Self {
+            connect_ms: Duration::from_millis(500),
+            answer_ms: Duration::from_secs(2),
+            body_limit_bytes: 16 << 20,
+        }
+    }
+}
+
+/// Table over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpTable(Service);
+
+/// Object store over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpObjectStore(Service);
+
+/// Weight store over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpWeightStore(Service);
+
+/// Host list over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpHostList(Service);
+
+impl HttpTable {
+    /// A client of the table at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: HttpOptions) -> Self {
+        Self(Service::new(address, options))
+    }
+}
+
+impl HttpObjectStore {
+    /// A client of the object store at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: HttpOptions) -> Self {
+        Self(Service::new(address, options))
+    }
+}
+
+impl HttpWeightStore {
+    /// A client of the weight store at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: HttpOptions) -> Self {
+        Self(Service::new(address, options))
+    }
+}
+
+impl HttpHostList {
+    /// A client of the host list at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: HttpOptions) -> Self {
+        Self(Service::new(address, options))
+    }
+}
+
+impl Table for HttpTable {
+    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply> {
+        Box::pin(async move {
+            let body = serde_json::to_vec(&request)
+                .map_err(|error| PlatformError::Unavailable(error.to_string()))?;
+            let response = self
+                .0
+                .send(Method::Post, "/table", Some((JSON, body)))
+                .await?;
+            decode(&expect_success(response)?)
+        })
+    }
+}
+
+impl ObjectStore for HttpObjectStore {
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> PlatformFuture<'a, ()> {
+        Box::pin(async move {
+            let path = object_path(key);
+            let response = self
+                .0
+                .send(Method::Put, &path, Some((BYTES, bytes)))
+                .await?;
+            expect_success(response).map(drop)
+        })
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move {
+            let response = self.0.send(Method::Get, &object_path(key), None).await?;
+            if response.status == StatusCode::NotFound {
+                return Ok(None);
+            }
+            expect_success(response).map(Some)
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, ()> {
+        Box::pin(async move {
+            let response = self.0.send(Method::Delete, &object_path(key), None).await?;
+            if response.status == StatusCode::NotFound {
+                return Ok(());
+            }
+            expect_success(response).map(drop)
+        })
+    }
+}
+
+impl WeightStore for HttpWeightStore {
+    fn reserve<'a>(
+        &'a self,
+        model: &'a str,
+        version: &'a str,
+    ) -> PlatformFuture<'a, Option<Duration>> {
+        Box::pin(async move {
+            let path = format!("/weights/{}/{}", segment(model), segment(version));
+            let response = self.0.send(Method::Post, &path, None).await?;
+            if response.status == StatusCode::TooManyRequests {
+                return Ok(Some(retry_after(&response)));
+            }
+            expect_success(response).map(|_| None)
+        })
+    }
+}
+
+impl HostList for HttpHostList {
+    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>> {
+        Box::pin(async move {
+            let response = self.0.send(Method::Get, "/hosts", None).await?;
+            decode(&expect_success(response)?)
+        })
+    }
+}
+
+/// Connection pool of one service.
+#[derive(Debug, Clone)]
+struct Service {
+    client: Client,
+}
+
+impl Service {
+    fn new(address: SocketAddr, options: HttpOptions) -> Self {
+        let limits = ClientLimits {
+            connect_ms: options.connect_ms,
+            head_ms: options.answer_ms,
+            stall_ms: options.answer_ms,
+            body_limit_bytes: options.body_limit_bytes,
+            ..ClientLimits::default()
+        };
+        Self {
+            client: Client::new(address, limits),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<(&str, Vec<u8>)>,
+    ) -> Result<WholeResponse, PlatformError> {
+        let mut request = self.client.request(method, path).map_err(client_error)?;
+        if let Some((media_type, body)) = body {
+            request.insert_header("content-type", media_type);
+            request.set_body(body);
+        }
+        self.client.send_whole(request).await.map_err(client_error)
+    }
+}
+
+fn client_error(error: ClientError) -> PlatformError {
+    match error {
+        ClientError::NotSent { detail } => PlatformError::Unavailable(detail),
+        ClientError::Interrupted { detail } => PlatformError::Unanswered(detail),
+    }
+}
+
+/// Body of a successful answer. `503` and `429` mean that the call was refused; after any other
+/// server error it may have taken effect.
+fn expect_success(response: WholeResponse) -> Result<Vec<u8>, PlatformError> {
+    let status = response.status;
+    if status.is_success() {
+        return Ok(response.body);
+    }
+    let detail = || {
+        let body = String::from_utf8_lossy(&response.body);
+        let start: String = body.chars().take(200).collect();
+        format!("status {status}: {start}")
+    };
+    Err(match status {
+        StatusCode::TooManyRequests => PlatformError::RateLimited,
+        StatusCode::ServiceUnavailable => PlatformError::Unavailable(detail()),
+        status if status.is_server_error() => PlatformError::Unanswered(detail()),
+        _ => PlatformError::Malformed(detail()),
+    })
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+/// Time to wait from the problem document, which has milliseconds, or from `Retry-After`.
+fn retry_after(response: &WholeResponse) -> Duration {
+    let from_body = serde_json::from_slice::<Problem>(&response.body)
+        .ok()
+        .and_then(|problem| problem.retry_after_ms)
+        .map(Duration::from_millis);
+    let from_head = || {
+        let seconds = response.headers.get("retry-after")?.as_str().parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    };
+    from_body.or_else(from_head).unwrap_or(WEIGHT_WAIT_MS)
+}
+
+fn object_path(key: &str) -> String {
+    format!("/objects/{}", segment(key))
+}
+
+fn segment(text: &str) -> String {
+    utf8_percent_encode(text, SEGMENT).to_string()
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! the wrapper for budget, backoff and read-back all implement the same trait.
 
 pub mod budget;
+pub mod client;
 pub mod error;
 pub mod guarded;
 pub mod hosts;
@@ -18,6 +19,11 @@
 
 pub use budget::BudgetOptions;
 pub use budget::RateBudget;
+pub use client::HttpHostList;
+pub use client::HttpObjectStore;
+pub use client::HttpOptions;
+pub use client::HttpTable;
+pub use client::HttpWeightStore;
 pub use error::PlatformError;
 pub use guarded::GuardContext;
 pub use guarded::Guarded;
--- a/components/standin/src/platform.rs
+++ b/components/standin/src/platform.rs
@@ -1,1 +1,81 @@
 //! Stand-in of the platform: table, object store, weight store and host list over HTTP.
+//!
+//! Everything is kept in memory. Beside the services' own paths there are `POST /faults` with
+//! [`Faults`], `POST /hosts` with the true host list, and `GET /counters` with [`Counters`].
+
+mod faults;
+mod handler;
+mod hosts;
+
+use std::future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_lite::io;
+use http::ServerLimits;
+use platform::HostEntry;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+
+pub use faults::Faults;
+pub use faults::Service;
+pub use handler::Counters;
+use handler::PlatformHandler;
+
+/// How the stand-in starts.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Shortest time between two loads that the weight store grants.
+    pub weight_interval_ms: Duration,
+    /// Age of the host list.
+    pub host_lag_ms: Duration,
+    /// Hosts at the start.
+    pub hosts: Vec<HostEntry>,
+    /// Seed of the faults that are drawn at random.
+    pub seed: u64,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            weight_interval_ms: Duration::from_millis(200),
+            host_lag_ms: Duration::from_secs(3),
+            hosts: Vec::new(),
+            seed: 1,
+        }
+    }
+}
+
+/// Binds the address and serves until the future is dropped.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn run(options: PlatformOptions) -> io::Result<()> {
+    let listener = TcpListener::bind(options.listen).await?;
+    let executor = Rc::new(LocalExecutor::new());
+    let (_running, stop) = async_channel::bounded(1);
+    let server = serve(listener, options, Rc::clone(&executor), stop);
+    executor.run(server).await?;
+    future::pending().await
+}
+
+/// Serves a bound listener until the stop channel is closed.
+///
+/// # Errors
+///
+/// Those of the server.
+pub async fn serve(
+    listener: TcpListener,
+    options: PlatformOptions,
+    executor: Rc<LocalExecutor<'static>>,
+    stop: Receiver<()>,
+) -> io::Result<()> {
+    let handler = Rc::new(PlatformHandler::new(options));
+    http::serve(listener, ServerLimits::default(), handler, executor, stop).await
+}
