--- /dev/null
+++ b/components/settings/tests/settings.rs
@@ -0,0 +1,183 @@
+//! Loading of settings, with the examples as valid files.
+
+use std::path::Path;
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use settings::Loaded;
+use settings::SettingsError;
+use settings::load_agent;
+use settings::load_entry;
+use settings::parse;
+
+const ENTRY: &str = include_str!("../../../examples/settings/el-bolson-entry.jsonc");
+const AGENT: &str = include_str!("../../../examples/settings/el-bolson-agent.jsonc");
+
+fn example(name: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples/settings")
+        .join(name)
+}
+
+/// Error after one replacement in the text.
+fn error_after(text: &str, from: &str, to: &str) -> SettingsError {
+    assert!(text.contains(from), "the example has no {from}");
+    parse("f.jsonc", &text.replacen(from, to, 1)).unwrap_err()
+}
+
+fn line_with(text: &str, part: &str) -> usize {
+    1 + text.lines().position(|line| line.contains(part)).unwrap()
+}
+
+// Guards against examples that no longer start a daemon.
+#[test]
+fn loads_every_example() {
+    let entry = load_entry(&example("el-bolson-entry.jsonc")).unwrap();
+    assert_eq!(entry.distance_ms["lago-puelo"], Duration::from_micros(1500));
+    assert_eq!(entry.limits.idle_ms, Duration::from_secs(75));
+    load_entry(&example("kitagawa-entry.jsonc")).unwrap();
+    load_agent(&example("el-bolson-agent.jsonc")).unwrap();
+    let agent = load_agent(&example("kitagawa-agent.jsonc")).unwrap();
+    assert_eq!(agent.order_poll_ms, Duration::from_secs(2));
+}
+
+// Guards against misspelt fields that are silently ignored.
+#[test]
+fn names_line_and_field_of_unknown_fields() {
+    let error = error_after(ENTRY, "\"requests\": 2048", "\"requets\": 2048");
+    assert_eq!(error.field, "limits.requets");
+    assert_eq!(error.line, line_with(ENTRY, "\"requests\": 2048"));
+    assert!(error.fix.contains("`requests`"), "{error}");
+    let error = error_after(ENTRY, "\"region\"", "\"regoin\"");
+    assert_eq!(error.field, "regoin");
+    assert_eq!(error.line, line_with(ENTRY, "\"region\""));
+}
+
+#[test]
+fn names_line_and_field_of_bad_values() {
+    let cases = [
+        (
+            ENTRY,
+            "\"body_ms\": 60000",
+            "\"body_ms\": \"long\"",
+            "limits.body_ms",
+        ),
+        (
+            ENTRY,
+            "\"body_ms\": 60000",
+            "\"body_ms\": 1",
+            "limits.body_ms",
+        ),
+        (
+            ENTRY,
+            "\"poll_ms\": 1000",
+            "\"poll_ms\": 30000",
+            "intervals.poll_ms",
+        ),
+        (ENTRY, "\"10.20.2.1:8090\"", "\"somewhere\"", "peers[0]"),
+        (
+            ENTRY,
+            "\"secret\": \"8f0c",
+            "\"secret\": \"zz0c",
+            "keys[0].secret",
+        ),
+        (ENTRY, "\"id\": 2", "\"id\": 1", "keys"),
+        (
+            ENTRY,
+            "example-token-of-the-radio-desk-0001",
+            "short",
+            "operators",
+        ),
+        (
+            ENTRY,
+            "10.20.1.1:8081",
+            "10.20.1.1:8080",
+            "addresses.operators",
+        ),
+        (ENTRY, "\"entry\"", "\"daemon\"", "daemon"),
+        (
+            AGENT,
+            "\"kind\": \"model\"",
+            "\"kind\": \"modle\"",
+            "target.kind",
+        ),
+        (AGENT, "\"bitacora-03\"", "\"Bitacora 03\"", "target.name"),
+        (AGENT, "10.20.2.3:8090", "0.0.0.0:8090", "listen"),
+        (
+            AGENT,
+            "\"concurrency\": 48",
+            "\"concurrency\": 0",
+            "concurrency",
+        ),
+    ];
+    for (text, from, to, field) in cases {
+        let error = error_after(text, from, to);
+        assert_eq!(error.field, field, "{error}");
+        assert!(error.line > 1 && !error.fix.is_empty(), "{error}");
+    }
+}
+
+#[test]
+fn names_missing_fields_and_syntax_errors() {
+    let error = error_after(AGENT, "\"service\": \"modelos-bitacora\",", "");
+    assert_eq!(error.field, "target.service");
+    let error = error_after(
+        AGENT,
+        "\"place\": \"lago-puelo\",",
+        "\"place\" \"lago-puelo\",",
+    );
+    assert_eq!(error.line, line_with(AGENT, "\"place\""));
+}
+
+// Guards against a daemon that starts with the file of the other one.
+#[test]
+fn refuses_the_file_of_the_other_daemon() {
+    assert_eq!(
+        load_entry(&example("el-bolson-agent.jsonc"))
+            .unwrap_err()
+            .line,
+        line_with(AGENT, "\"target\"")
+    );
+    assert!(load_agent(&example("el-bolson-entry.jsonc")).is_err());
+}
+
+// Guards against secrets in logs.
+#[test]
+fn does_not_print_secrets() {
+    let printed = format!("{:?}", parse("f", ENTRY).unwrap());
+    assert!(!printed.contains("8f0c") && !printed.contains("example-token"));
+}
+
+// Guards against a reload that would leave a listener on an old address.
+#[test]
+fn reloads_keys_and_limits_but_no_addresses() {
+    let Loaded::Entry(old) = parse("f", ENTRY).unwrap() else {
+        panic!("not an entry");
+    };
+    let new = ENTRY
+        .replace("\"id\": 1", "\"id\": 3")
+        .replace("\"requests\": 2048", "\"requests\": 100");
+    let Loaded::Entry(new) = parse("f", &new).unwrap() else {
+        panic!("not an entry");
+    };
+    let reloaded = old.reloaded(&new).unwrap();
+    assert_eq!(reloaded.limits.requests, 100);
+    assert_eq!(reloaded.keys[1].id, 3);
+    let mut moved = *new;
+    moved.addresses.callers.set_port(1);
+    assert_eq!(old.reloaded(&moved).unwrap_err().field, "addresses");
+}
+
+quickcheck! {
+    fn mutated_files_give_typed_errors(changes: Vec<(usize, u8)>) -> bool {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        for (at, byte) in changes {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        match parse("f", &String::from_utf8_lossy(&bytes)) {
+            Ok(_) => true,
+            Err(error) => !error.fix.is_empty(),
+        }
+    }
+}
