--- /dev/null
+++ b/components/request/src/batch.rs
@@ -0,0 +1,258 @@
+//! Writes of claim rows, committed in batches.
+//!
+//! Writes that arrive within a few milliseconds share a transaction, because the table takes
+//! several hundred writes a second for all entries together. A write whose row has changed is
+//! taken out of its batch, and the others are sent again. Every write carries a token: a row
+//! with the token of a write is that write, whatever became of its reply.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::Check;
+use platform::CommitOutcome;
+use platform::PlatformError;
+use platform::Put;
+use platform::Row;
+use platform::RowVersion;
+use platform::TableReply;
+use platform::TableRequest;
+use platform::Transaction;
+use types::RequestId;
+
+use crate::claim::ClaimRow;
+use crate::claim::EPOCH_KEY;
+use crate::claim::EpochRow;
+
+/// Time that a write waits for others.
+const BATCH_MS: Duration = Duration::from_millis(5);
+/// Writes in one transaction.
+const BATCH_LIMIT: usize = 32;
+/// Stored answers in one transaction; an outage would make one of 32 large answers fail as a
+/// whole again and again.
+const BATCH_LIMIT_BYTES: usize = 512 << 10;
+
+/// What a write is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A run wants to dispatch.
+    Take(RequestId),
+    /// A run has ended.
+    Outcome,
+}
+
+/// One write of a claim row.
+#[derive(Debug, Clone)]
+pub struct Write {
+    /// Row key.
+    pub key: String,
+    /// Version that the row must have.
+    pub version: RowVersion,
+    /// New value. `expires_epoch` is set when a claim is taken.
+    pub row: ClaimRow,
+    /// Epochs that the row is kept for.
+    pub epochs_kept: u64,
+    /// What it is for.
+    pub purpose: Purpose,
+}
+
+/// How a write ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteEnd {
+    /// In force, at this version.
+    Committed(RowVersion),
+    /// Not written: the row is now this one.
+    Changed(Option<Row>),
+    /// Not written: the table does not answer.
+    Unavailable,
+    /// Possibly written, now or later.
+    Unanswered,
+}
+
+struct InFlight {
+    writes: Vec<Write>,
+    /// Reads the rows, after a conflict that did not name any of them.
+    reading: bool,
+}
+
+/// Writes that wait or are under way.
+#[derive(Default)]
+pub struct Batches {
+    pending: Vec<Write>,
+    pending_bytes: usize,
+    flush_at: Option<Instant>,
+    in_flight: HashMap<u64, InFlight>,
+    epoch: u64,
+    epoch_version: RowVersion,
+}
+
+impl Batches {
+    /// Whether nothing waits and nothing is under way.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty() && self.in_flight.is_empty()
+    }
+
+    /// Adds a write and returns when to call `flush`.
+    pub fn push(&mut self, now: Instant, write: Write) -> Instant {
+        self.pending_bytes += write.row.answer.as_ref().map_or(0, |a| a.body.len());
+        self.pending.push(write);
+        let full = self.pending.len() >= BATCH_LIMIT || self.pending_bytes >= BATCH_LIMIT_BYTES;
+        let at = self.flush_at.unwrap_or(now + BATCH_MS);
+        let at = if full { now } else { at };
+        self.flush_at = Some(at);
+        at
+    }
+
+    /// Starts the next transaction if it is due.
+    pub fn flush(&mut self, now: Instant, operation: u64) -> Option<TableRequest> {
+        if self.flush_at.is_none_or(|at| at > now) {
+            return None;
+        }
+        let rest = self.pending.split_off(self.pending.len().min(BATCH_LIMIT));
+        let writes = std::mem::replace(&mut self.pending, rest);
+        self.pending_bytes = 0;
+        self.flush_at = (!self.pending.is_empty()).then_some(now);
+        self.commit(operation, writes)
+    }
+
+    /// Whether the operation belongs to a batch.
+    #[must_use]
+    pub fn owns(&self, operation: u64) -> bool {
+        self.in_flight.contains_key(&operation)
+    }
+
+    /// Takes the end of an operation. Returns the writes that have ended, and a request to be
+    /// made under the number `next` for the others.
+    pub fn done(
+        &mut self,
+        operation: u64,
+        result: Result<TableReply, PlatformError>,
+        next: u64,
+    ) -> (Vec<(Write, WriteEnd)>, Option<TableRequest>) {
+        let Some(InFlight { writes, reading }) = self.in_flight.remove(&operation) else {
+            return (Vec::new(), None);
+        };
+        match result {
+            Ok(TableReply::Commit(CommitOutcome::Committed(versions))) if !reading => {
+                (committed(writes, &versions), None)
+            }
+            Ok(TableReply::Commit(CommitOutcome::Conflict(rows))) if !reading => {
+                if rows.is_empty() {
+                    return (Vec::new(), Some(self.read(next, writes)));
+                }
+                let (ended, rest) = self.sort_out(writes, rows, false);
+                (ended, self.commit(next, rest))
+            }
+            Ok(TableReply::Rows(rows)) if reading => {
+                let (ended, rest) = self.sort_out(writes, rows, true);
+                (ended, self.commit(next, rest))
+            }
+            Err(PlatformError::Unavailable(_) | PlatformError::RateLimited) => {
+                (all_ended(writes, &WriteEnd::Unavailable), None)
+            }
+            // A read that fails has written nothing, and neither has the commit before it.
+            Err(_) | Ok(_) if reading => (all_ended(writes, &WriteEnd::Unavailable), None),
+            Err(_) | Ok(_) => (all_ended(writes, &WriteEnd::Unanswered), None),
+        }
+    }
+
+    fn commit(&mut self, operation: u64, mut writes: Vec<Write>) -> Option<TableRequest> {
+        if writes.is_empty() {
+            return None;
+        }
+        let mut transaction = Transaction {
+            proof: writes[0].key.clone(),
+            ..Transaction::default()
+        };
+        for write in &mut writes {
+            if matches!(write.purpose, Purpose::Take(_)) {
+                write.row.expires_epoch = self.epoch + write.epochs_kept;
+            }
+            transaction.checks.push(Check {
+                key: write.key.clone(),
+                version: write.version,
+            });
+            transaction.puts.push(Put {
+                key: write.key.clone(),
+                value: Some(write.row.to_json()),
+            });
+        }
+        transaction.checks.push(Check {
+            key: EPOCH_KEY.to_owned(),
+            version: self.epoch_version,
+        });
+        let reading = false;
+        self.in_flight
+            .insert(operation, InFlight { writes, reading });
+        Some(TableRequest::Commit(transaction))
+    }
+
+    fn read(&mut self, operation: u64, writes: Vec<Write>) -> TableRequest {
+        let keys = writes.iter().map(|write| write.key.clone());
+        let keys = keys.chain([EPOCH_KEY.to_owned()]).collect();
+        let reading = true;
+        self.in_flight
+            .insert(operation, InFlight { writes, reading });
+        TableRequest::Read(keys)
+    }
+
+    /// Separates writes whose row has changed from those to be sent again. With `complete`,
+    /// a row that is not listed is absent; otherwise it is as expected.
+    fn sort_out(
+        &mut self,
+        writes: Vec<Write>,
+        rows: Vec<Row>,
+        complete: bool,
+    ) -> (Vec<(Write, WriteEnd)>, Vec<Write>) {
+        let mut rows: HashMap<String, Row> =
+            rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        if let Some(row) = rows.remove(EPOCH_KEY) {
+            self.epoch_version = row.version;
+            let value = serde_json::from_str::<EpochRow>(&row.value);
+            self.epoch = value.map_or(self.epoch, |value| value.epoch);
+        }
+        let mut ended = Vec::new();
+        let mut rest = Vec::new();
+        for write in writes {
+            let version = rows.get(&write.key).map(|row| row.version);
+            let unchanged = match version {
+                Some(version) => version == write.version,
+                None => !complete || write.version == 0,
+            };
+            if unchanged {
+                rest.push(write);
+                continue;
+            }
+            let row = rows.remove(&write.key).filter(|row| row.version != 0);
+            let end = match row {
+                Some(row) if has_token(&row, write.row.token) => WriteEnd::Committed(row.version),
+                row => WriteEnd::Changed(row),
+            };
+            ended.push((write, end));
+        }
+        (ended, rest)
+    }
+}
+
+fn has_token(row: &Row, token: u128) -> bool {
+    serde_json::from_str::<ClaimRow>(&row.value).is_ok_and(|value| value.token == token)
+}
+
+fn committed(writes: Vec<Write>, versions: &[RowVersion]) -> Vec<(Write, WriteEnd)> {
+    if versions.len() != writes.len() {
+        return all_ended(writes, &WriteEnd::Unanswered);
+    }
+    writes
+        .into_iter()
+        .zip(versions.iter().copied())
+        .map(|(write, version)| (write, WriteEnd::Committed(version)))
+        .collect()
+}
+
+fn all_ended(writes: Vec<Write>, end: &WriteEnd) -> Vec<(Write, WriteEnd)> {
+    writes
+        .into_iter()
+        .map(|write| (write, end.clone()))
+        .collect()
+}
--- a/components/request/src/budget.rs
+++ b/components/request/src/budget.rs
@@ -48,12 +48,6 @@
         true
     }
 
-    /// Whether nothing is counted any more.
-    pub fn is_idle(&mut self, now: Instant) -> bool {
-        self.expire(now);
-        self.slots.is_empty()
-    }
-
     fn slot(&mut self, now: Instant) -> &mut Slot {
         self.expire(now);
         let fresh = self
--- a/components/request/src/connections.rs
+++ b/components/request/src/connections.rs
@@ -33,6 +33,7 @@
         for id in self.runs_at(target, |known| known == incarnation) {
             self.reattach(cx, id);
         }
+        self.repeat_enquiries(cx, target);
         self.pump_due = true;
     }
 
@@ -98,6 +99,7 @@
         for id in self.runs_at(target, |known| known == incarnation) {
             self.attempt_lost(cx, id);
         }
+        self.enquiries_lost(cx, target, incarnation);
     }
 
     fn attempt_lost(&mut self, cx: &mut Context, id: RequestId) {
--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -74,7 +74,9 @@
         }
         self.queues.retain(|_, queue| !queue.is_forgettable());
         if let Some(wait) = retry_ms {
-            self.timers.retain(|(_, timer)| *timer != Timer::Pump);
+            if let Some(at) = self.pump_at.replace(cx.now + wait) {
+                self.timers.remove(&(at, Timer::Pump));
+            }
             self.set_timer(cx.now + wait, Timer::Pump);
         }
     }
@@ -110,6 +112,10 @@
             return;
         };
         run.attempts += 1;
+        if run.claim.is_some() {
+            self.take_claim(cx, id, target, incarnation);
+            return;
+        }
         let attempt = AttemptId {
             request: id,
             number: run.attempts,
@@ -167,7 +173,10 @@
 
     /// Ends the attempt in progress and tells the agent that its answer is not wanted.
     pub(crate) fn cancel_attempt(&mut self, cx: &mut Context, id: RequestId, end: Settlement) {
-        if let Some(attempt) = self.runs.get(&id).and_then(|run| run.attempt.as_ref()) {
+        // Work that must not be repeated is never cancelled: its answer is kept for resends.
+        if let Some(run) = self.runs.get(&id).filter(|run| run.idempotent)
+            && let Some(attempt) = &run.attempt
+        {
             cx.actions.push(Action::Send {
                 target: attempt.target.clone(),
                 message: ToAgent::Cancel {
@@ -183,6 +192,11 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
+        if run.waiters.is_empty() {
+            let state = self.state_at_end(id);
+            self.forget(cx.now, id, state);
+            return;
+        }
         let budget = self.budgets.entry(run.need.service.clone()).or_default();
         if budget.take(cx.now) {
             self.enqueue(cx, id);
--- a/components/request/src/finish.rs
+++ b/components/request/src/finish.rs
@@ -1,5 +1,7 @@
 //! Ends: failed attempts, deadlines, hang-ups and final answers.
 
+use std::time::Instant;
+
 use types::RefusalReason;
 use types::Reply;
 use types::RequestId;
@@ -9,13 +11,16 @@
 use crate::action::Action;
 use crate::action::Outcome;
 use crate::action::Summary;
+use crate::claim::ClaimState;
+use crate::claims::LINGER_MS;
+use crate::claims::outcome_unknown;
 use crate::refusal::Ending;
 use crate::refusal::RETRY_MS;
 use crate::requests::Context;
 use crate::requests::Requests;
 use crate::requests::Timer;
 use crate::router::Settlement;
-use crate::run::Run;
+use crate::run::Phase;
 use crate::run::Waiter;
 
 impl Requests {
@@ -44,6 +49,10 @@
         let Some(run) = self.runs.get(&id) else {
             return;
         };
+        if !run.idempotent {
+            self.lose_outcome(cx, id, &outcome_unknown());
+            return;
+        }
         if run.attempts < run.terms.profile.attempt_limit {
             self.retry(cx, id);
             return;
@@ -55,6 +64,10 @@
     /// The attempt's answer is not the one that callers already have a part of.
     pub(crate) fn answer_contradicted(&mut self, cx: &mut Context, id: RequestId) {
         self.cancel_attempt(cx, id, Settlement::Failed);
+        if self.runs.get(&id).is_some_and(|run| !run.idempotent) {
+            self.lose_outcome(cx, id, &outcome_unknown());
+            return;
+        }
         let detail = "the answer broke off and another attempt gave a different one";
         let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
         self.refuse(cx, id, &refusal);
@@ -67,7 +80,8 @@
         };
         let detail = "the deadline passed";
         let refusal = Ending::new(RefusalReason::DeadlineExceeded, Some(RETRY_MS), detail);
-        self.refuse_one(cx, request, &refusal);
+        let state = self.run_state_without(id);
+        self.refuse_one(cx, request, &refusal, state);
         self.drop_if_unwanted(cx, id);
     }
 
@@ -81,7 +95,8 @@
         self.drop_if_unwanted(cx, id);
     }
 
-    /// Gives up a run that no caller waits for.
+    /// Gives up a run that no caller waits for, unless it must not be repeated and may run:
+    /// then its answer is kept for a resend.
     fn drop_if_unwanted(&mut self, cx: &mut Context, id: RequestId) {
         let Some(run) = self.runs.get(&id) else {
             return;
@@ -89,12 +104,33 @@
         if !run.waiters.is_empty() {
             return;
         }
+        if !run.idempotent && run.attempt.is_some() {
+            let at = cx.now.max(run.deadline()) + LINGER_MS;
+            self.set_timer(at, Timer::Linger(id));
+            self.grant(cx, id);
+            return;
+        }
         self.cancel_attempt(cx, id, Settlement::Cancelled);
-        self.forget(id);
+        let state = self.state_at_end(id);
+        self.forget(cx.now, id, state);
+    }
+
+    /// Gives up a run that nobody has waited for since its deadline.
+    pub(crate) fn linger_over(&mut self, cx: &mut Context, id: RequestId) {
+        if self.runs.get(&id).is_some_and(|run| run.waiters.is_empty()) {
+            self.end_attempt(cx, id, Settlement::Failed);
+            self.forget(cx.now, id, ClaimState::Unknown);
+        }
     }
 
     /// The whole answer has been relayed.
     pub(crate) fn answered(&mut self, cx: &mut Context, id: RequestId, usage: Usage) {
+        self.settle_answered(cx, id, usage);
+        self.forget(cx.now, id, ClaimState::Done);
+    }
+
+    /// Gives every caller of a run the end of its answer.
+    pub(crate) fn settle_answered(&mut self, cx: &mut Context, id: RequestId, usage: Usage) {
         for request in self.waiters_of(id) {
             let Some(waiter) = self.take_waiter(id, request) else {
                 continue;
@@ -103,22 +139,28 @@
             cx.actions.push(Action::Reply { request, reply });
             self.settle(cx, id, &waiter, Outcome::Answered, usage);
         }
-        self.forget(id);
     }
 
     /// Refuses all callers of a run and forgets it.
     pub(crate) fn refuse(&mut self, cx: &mut Context, id: RequestId, ending: &Ending) {
+        let state = self.run_state(id);
         for request in self.waiters_of(id) {
-            self.refuse_one(cx, request, ending);
+            self.refuse_one(cx, request, ending, state);
         }
-        self.forget(id);
+        let claim = self.state_at_end(id);
+        self.forget(cx.now, id, claim);
     }
 
-    fn refuse_one(&mut self, cx: &mut Context, request: RequestId, ending: &Ending) {
+    fn refuse_one(
+        &mut self,
+        cx: &mut Context,
+        request: RequestId,
+        ending: &Ending,
+        state: RunState,
+    ) {
         let Some(&id) = self.waiting.get(&request) else {
             return;
         };
-        let state = self.run_state(id);
         let Some(waiter) = self.take_waiter(id, request) else {
             return;
         };
@@ -129,7 +171,15 @@
         self.settle(cx, id, &waiter, outcome, Usage::default());
     }
 
-    /// What may be said of a run now. A run with several callers goes on without one of them.
+    /// What may be said to one caller that leaves: the run goes on for the others.
+    fn run_state_without(&self, id: RequestId) -> RunState {
+        match self.runs.get(&id) {
+            Some(run) if run.waiters.len() > 1 => RunState::Unknown,
+            _ => self.run_state(id),
+        }
+    }
+
+    /// What may be said of a run now.
     fn run_state(&self, id: RequestId) -> RunState {
         self.runs
             .get(&id)
@@ -176,9 +226,12 @@
         cx.actions.push(Action::Settled { request, summary });
     }
 
-    /// Removes a run and everything that is held for it.
-    pub(crate) fn forget(&mut self, id: RequestId) -> Option<Run> {
-        let run = self.runs.remove(&id)?;
+    /// Removes a run and everything that is held for it. Its claim gets a new state; `Taken`
+    /// leaves it as it is.
+    pub(crate) fn forget(&mut self, now: Instant, id: RequestId, claim: ClaimState) {
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
         if let Some(attempt) = &run.attempt {
             self.attempts.remove(&attempt.id);
         }
@@ -186,6 +239,14 @@
         if let Some(queue) = self.queues.get_mut(&key) {
             queue.remove(id);
         }
-        Some(run)
+        if let Phase::Enquiring(row) = &run.phase {
+            self.enquiries.remove(&row.attempt_id());
+        }
+        if let Some(claim) = &run.claim {
+            self.claimed.remove(&claim.key);
+        }
+        if claim != ClaimState::Taken {
+            self.close_claim(now, &run, claim);
+        }
     }
 }
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -4,11 +4,15 @@
 
 pub mod action;
 pub mod answer;
+pub mod batch;
 pub mod budget;
+pub mod claim;
+mod claims;
 mod connections;
 mod dispatch;
 pub mod event;
 mod finish;
+mod outcomes;
 pub mod queue;
 mod refusal;
 mod relay;
@@ -16,6 +20,9 @@
 pub mod router;
 mod run;
 mod submit;
+pub mod sweep;
+mod takeover;
+mod tokens;
 
 pub use action::Action;
 pub use action::Outcome;
@@ -27,3 +34,6 @@
 pub use router::Need;
 pub use router::Router;
 pub use router::Settlement;
+pub use sweep::Sweep;
+pub use sweep::SweepAction;
+pub use sweep::SweepEvent;
--- a/components/request/src/relay.rs
+++ b/components/request/src/relay.rs
@@ -12,12 +12,14 @@
 use wire::ToEntry;
 
 use crate::action::Action;
+use crate::answer::Answer;
 use crate::answer::AnswerHead;
 use crate::answer::Progress;
 use crate::dispatch::WINDOW_BYTES;
 use crate::requests::Context;
 use crate::requests::Requests;
 use crate::router::Settlement;
+use crate::run::Waiter;
 
 /// Credit is granted in steps of at least this, so that it costs few frames.
 const CREDIT_STEP_BYTES: u64 = WINDOW_BYTES / 4;
@@ -33,6 +35,12 @@
         let Some(attempt) = attempt_of(&message) else {
             return;
         };
+        if let ToEntry::Forbidden { outcome, .. } = message
+            && let Some(&id) = self.enquiries.get(&attempt)
+        {
+            self.enquiry_answered(cx, id, incarnation, outcome);
+            return;
+        }
         let Some(id) = self.current(attempt, target, incarnation) else {
             return;
         };
@@ -133,28 +141,19 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        let served_by = run.tried.last().cloned().unwrap_or_default();
         for waiter in &mut run.waiters {
-            let request = waiter.request;
-            if let Some(head) = run.answer.head()
-                && !waiter.head_sent
-            {
-                waiter.head_sent = true;
-                let reply = Reply::Head {
-                    status: head.status,
-                    content_type: head.content_type.clone(),
-                    served_by: served_by.clone(),
-                };
-                cx.actions.push(Action::Reply { request, reply });
-            }
-            if bytes.is_empty() {
-                continue;
-            }
-            let since = cx.now.saturating_duration_since(waiter.accepted);
-            waiter.first_byte_ms.get_or_insert(since);
-            waiter.sent += bytes.len() as u64;
-            let reply = Reply::Body(bytes.to_vec());
-            cx.actions.push(Action::Reply { request, reply });
+            relay_to(cx, &run.answer, run.tried.last(), waiter, bytes);
+        }
+    }
+
+    /// Gives a caller that joined what the others already have.
+    pub(crate) fn catch_up(&mut self, cx: &mut Context, id: RequestId, request: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let bytes = run.answer.kept().map(<[u8]>::to_vec).unwrap_or_default();
+        if let Some(waiter) = run.waiters.iter_mut().find(|w| w.request == request) {
+            relay_to(cx, &run.answer, run.tried.last(), waiter, &bytes);
         }
     }
 
@@ -233,6 +232,35 @@
     }
 }
 
+fn relay_to(
+    cx: &mut Context,
+    answer: &Answer,
+    served_by: Option<&TargetName>,
+    waiter: &mut Waiter,
+    bytes: &[u8],
+) {
+    let request = waiter.request;
+    if let Some(head) = answer.head()
+        && !waiter.head_sent
+    {
+        waiter.head_sent = true;
+        let reply = Reply::Head {
+            status: head.status,
+            content_type: head.content_type.clone(),
+            served_by: served_by.cloned().unwrap_or_default(),
+        };
+        cx.actions.push(Action::Reply { request, reply });
+    }
+    if bytes.is_empty() {
+        return;
+    }
+    let since = cx.now.saturating_duration_since(waiter.accepted);
+    waiter.first_byte_ms.get_or_insert(since);
+    waiter.sent += bytes.len() as u64;
+    let reply = Reply::Body(bytes.to_vec());
+    cx.actions.push(Action::Reply { request, reply });
+}
+
 /// Attempt that a message is about.
 fn attempt_of(message: &ToEntry) -> Option<AttemptId> {
     match message {
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -12,12 +12,16 @@
 use types::TargetName;
 
 use crate::action::Action;
+use crate::batch::Batches;
+use crate::batch::Write;
 use crate::budget::RetryBudget;
+use crate::claim::ClaimRow;
 use crate::event::Event;
 use crate::queue::Queue;
 use crate::router::Router;
 use crate::run::Phase;
 use crate::run::Run;
+use crate::tokens::Tokens;
 
 /// What is to be done at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +34,16 @@
     Pump,
     /// Ask the retry budget again.
     Budget,
+    /// Time for the table to answer about the claim of a run.
+    Claim(RequestId),
+    /// Time for an agent to answer about another entry's attempt.
+    Enquiry(AttemptId),
+    /// Time for a run that no caller waits for.
+    Linger(RequestId),
+    /// Commit the writes that wait.
+    Flush,
+    /// Write outcomes again that could not be written.
+    Outcomes,
 }
 
 /// Queue of one profile for one service.
@@ -49,20 +63,48 @@
     pub(crate) waiting: HashMap<RequestId, RequestId>,
     /// Run of every attempt in progress; messages about others are late and dropped.
     pub(crate) attempts: HashMap<AttemptId, RequestId>,
+    /// Run of every key; resends join it.
+    pub(crate) claimed: HashMap<String, RequestId>,
+    /// Run that asks about another entry's attempt.
+    pub(crate) enquiries: HashMap<AttemptId, RequestId>,
+    pub(crate) batches: Batches,
+    pub(crate) reads_pending: Vec<RequestId>,
+    pub(crate) reads: HashMap<u64, Vec<RequestId>>,
+    /// Outcomes that are not written yet, by the key of their row.
+    pub(crate) outcomes: HashMap<String, ClaimRow>,
+    pub(crate) outcomes_delayed: Vec<Write>,
+    pub(crate) tokens: Tokens,
+    pub(crate) entry: Incarnation,
+    /// Number of the last call to the table.
+    pub(crate) operations: u64,
     pub(crate) queues: HashMap<QueueKey, Queue>,
     pub(crate) budgets: HashMap<ServiceName, RetryBudget>,
     pub(crate) connections: HashMap<TargetName, Incarnation>,
     pub(crate) timers: BTreeSet<(Instant, Timer)>,
+    /// Time of the pump timer that is set.
+    pub(crate) pump_at: Option<Instant>,
+    /// Time by which reads that wait are made.
+    pub(crate) reads_due: Option<Instant>,
     /// Something changed that may let a waiting request go.
     pub(crate) pump_due: bool,
     pub(crate) leaving: bool,
 }
 
 impl Requests {
-    /// Starts empty.
+    /// Starts empty. `seed` makes tokens and random keys, and must differ between runs.
     #[must_use]
-    pub fn new(_entry: Incarnation, _seed: u64) -> Self {
+    pub fn new(entry: Incarnation, seed: u64) -> Self {
         Self {
+            claimed: HashMap::new(),
+            enquiries: HashMap::new(),
+            batches: Batches::default(),
+            reads_pending: Vec::new(),
+            reads: HashMap::new(),
+            outcomes: HashMap::new(),
+            outcomes_delayed: Vec::new(),
+            tokens: Tokens::new(entry, seed),
+            entry,
+            operations: 0,
             runs: HashMap::new(),
             waiting: HashMap::new(),
             attempts: HashMap::new(),
@@ -70,6 +112,8 @@
             budgets: HashMap::new(),
             connections: HashMap::new(),
             timers: BTreeSet::new(),
+            pump_at: None,
+            reads_due: None,
             pump_due: false,
             leaving: false,
         }
@@ -83,6 +127,8 @@
             actions: Vec::new(),
         };
         let cx = &mut context;
+        // Timers first: nothing is dispatched or relayed past its deadline.
+        self.run_timers(cx);
         match event {
             Event::Submitted {
                 request,
@@ -105,13 +151,14 @@
                 target,
                 incarnation,
             } => self.incarnation_gone(cx, &target, incarnation),
-            Event::TableDone { .. } | Event::Tick => {}
+            Event::TableDone { operation, result } => self.table_done(cx, operation, result),
+            Event::Tick => {}
             Event::Leaving => self.leaving = true,
         }
-        self.run_timers(cx);
         if std::mem::take(&mut self.pump_due) {
             self.pump(cx);
         }
+        self.flush_table(cx);
         context.actions
     }
 
@@ -130,7 +177,11 @@
     /// Whether nothing is left to do; a stopping process may exit then.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.waiting.is_empty()
+        self.runs.is_empty()
+            && self.waiting.is_empty()
+            && self.outcomes.is_empty()
+            && self.outcomes_delayed.is_empty()
+            && self.batches.is_empty()
     }
 
     pub(crate) fn set_timer(&mut self, at: Instant, timer: Timer) {
@@ -148,6 +199,16 @@
                 Timer::Reconnect(attempt) => self.reconnect_overdue(cx, attempt),
                 Timer::Pump => self.pump_due = true,
                 Timer::Budget => self.release_delayed(cx),
+                Timer::Claim(id) => self.claim_overdue(cx, id),
+                Timer::Enquiry(attempt) => {
+                    if let Some(&id) = self.enquiries.get(&attempt) {
+                        self.enquiry_overdue(cx, id);
+                    }
+                }
+                Timer::Linger(id) => self.linger_over(cx, id),
+                // Writes that are due are committed at the end of every event.
+                Timer::Flush => {}
+                Timer::Outcomes => self.retry_outcomes(cx.now),
             }
         }
     }
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::RowVersion;
 use smallvec::SmallVec;
 use types::AttemptId;
 use types::Incarnation;
@@ -14,6 +15,7 @@
 use types::TargetName;
 
 use crate::answer::Answer;
+use crate::claim::ClaimRow;
 use crate::event::Terms;
 use crate::router::Need;
 
@@ -45,11 +47,32 @@
     pub own: bool,
 }
 
+/// Claim of a non-idempotent run.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    pub key: String,
+    pub digest: String,
+    /// Version of the row as last seen; 0 for an absent one.
+    pub version: RowVersion,
+    /// The row at this version was written by this run.
+    pub held: Option<Box<ClaimRow>>,
+    /// The caller gave a key, so that resends can ask for the outcome.
+    pub keyed: bool,
+    /// Times that another entry's claim was met.
+    pub contests: u32,
+}
+
 /// Where a run stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// Its claim is being read.
+    Reading,
     /// In the admission queue.
     Queued,
+    /// Its claim is being written for an attempt at that run of a target.
+    Claiming(TargetName, Incarnation),
+    /// Another entry holds the claim; its agent is asked whether the attempt was started.
+    Enquiring(Box<ClaimRow>),
     /// Waits for the retry budget.
     Delayed,
     /// An attempt is in progress.
@@ -69,7 +92,11 @@
     pub tried: SmallVec<[TargetName; 2]>,
     pub attempt: Option<Attempt>,
     pub answer: Answer,
+    /// Only for non-idempotent work.
+    pub claim: Option<Claim>,
     pub accepted: Instant,
+    /// Time by which the table must have answered.
+    pub table_due: Option<Instant>,
     /// An earlier attempt may have run, in part or whole.
     pub touched: bool,
 }
@@ -82,7 +109,8 @@
 
     /// What may be said of the run if it ended now.
     pub fn state(&self) -> RunState {
-        if self.touched || self.attempt.is_some() {
+        let elsewhere = matches!(self.phase, Phase::Enquiring(_));
+        if self.touched || self.attempt.is_some() || elsewhere {
             return RunState::Unknown;
         }
         RunState::NotRun
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -1,25 +1,37 @@
 //! Admission of a request.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use smallvec::smallvec;
+use types::KeylessPolicy;
 use types::Refusal;
 use types::RefusalReason;
 use types::Reply;
 use types::RequestId;
+use types::RunState;
 use types::Submission;
+use types::Usage;
 
 use crate::action::Action;
 use crate::action::Outcome;
 use crate::action::Summary;
 use crate::answer::Answer;
+use crate::claim::CLAIM_PREFIX;
+use crate::claim::STORED_ANSWER_LIMIT_BYTES;
+use crate::claim::claim_key;
+use crate::claim::work_digest;
+use crate::claims::key_reused;
 use crate::event::Terms;
+use crate::outcomes::refusal_in;
+use crate::outcomes::too_large;
 use crate::refusal::Ending;
 use crate::refusal::RETRY_MS;
 use crate::refusal::not_run;
 use crate::requests::Context;
 use crate::requests::Requests;
 use crate::requests::Timer;
+use crate::run::Claim;
 use crate::run::Phase;
 use crate::run::Run;
 use crate::run::Waiter;
@@ -38,15 +50,70 @@
             return;
         }
         let idempotent = submission.work.method.is_idempotent() || terms.profile.idempotent;
+        let mut run = new_run(cx.now, request, submission, terms, idempotent);
         if !idempotent {
-            let refusal = not_run(RefusalReason::StoreUnavailable, Some(RETRY_MS), "no claim");
-            refuse_at_once(cx, request, &submission, refusal);
-            return;
+            match self.claim_for(cx, &run) {
+                Some(claim) => run.claim = Some(claim),
+                None => return,
+            }
+            run.answer = Answer::keeping(STORED_ANSWER_LIMIT_BYTES);
         }
-        let run = new_run(cx.now, request, submission, terms, idempotent);
         self.admit(cx, run);
     }
 
+    /// Claim of a new run, or `None` if the request was answered or has joined another run.
+    fn claim_for(&mut self, cx: &mut Context, run: &Run) -> Option<Claim> {
+        let submission = &run.submission;
+        let digest = work_digest(submission);
+        let Some(key) = &submission.key else {
+            if run.terms.profile.keyless == KeylessPolicy::Refuse {
+                let detail = "the request is not idempotent; send an Idempotency-Key";
+                let refusal = not_run(RefusalReason::KeyRequired, None, detail);
+                refuse_at_once(cx, run.id, submission, refusal);
+                return None;
+            }
+            let key = format!("{CLAIM_PREFIX}keyless-{:032x}", self.tokens.next());
+            return Some(new_claim(key, digest, false));
+        };
+        let key = claim_key(submission, key);
+        if let Some(&existing) = self.claimed.get(&key) {
+            self.join(cx, existing, run, &digest);
+            return None;
+        }
+        if self.answer_from_memory(cx, run.id, submission, &key, &digest) {
+            return None;
+        }
+        Some(new_claim(key, digest, true))
+    }
+
+    /// Lets a resend share the run of the first submission.
+    fn join(&mut self, cx: &mut Context, id: RequestId, resend: &Run, digest: &str) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let submission = &resend.submission;
+        if run
+            .claim
+            .as_ref()
+            .is_some_and(|claim| claim.digest != digest)
+        {
+            let refusal = key_reused().refusal(RunState::NotRun);
+            refuse_at_once(cx, resend.id, submission, refusal);
+            return;
+        }
+        if run.answer.kept().is_none() {
+            let refusal = too_large().refusal(RunState::Unknown);
+            refuse_at_once(cx, resend.id, submission, refusal);
+            return;
+        }
+        let deadline = resend.need.deadline;
+        run.need.deadline = run.need.deadline.max(deadline);
+        run.waiters.push(new_waiter(cx.now, resend.id, deadline));
+        self.waiting.insert(resend.id, id);
+        self.set_timer(deadline, Timer::Deadline(resend.id));
+        self.catch_up(cx, id, resend.id);
+    }
+
     fn unacceptable(&self, submission: &Submission, terms: &Terms) -> Option<Refusal> {
         let profile = &terms.profile;
         let work = &submission.work;
@@ -78,8 +145,16 @@
             .entry(service)
             .or_default()
             .count_request(cx.now);
+        let claim = run.claim.as_ref();
+        let keyed = claim.filter(|claim| claim.keyed).map(|c| c.key.clone());
         self.runs.insert(id, run);
-        self.enqueue(cx, id);
+        match keyed {
+            Some(key) => {
+                self.claimed.insert(key, id);
+                self.read_claim(cx, id);
+            }
+            None => self.enqueue(cx, id),
+        }
     }
 
     /// Puts a run into the queue of its profile, or refuses it if it cannot be served from there.
@@ -127,11 +202,24 @@
         tried: smallvec![],
         attempt: None,
         answer: Answer::default(),
+        claim: None,
         accepted: now,
+        table_due: None,
         touched: false,
     }
 }
 
+fn new_claim(key: String, digest: String, keyed: bool) -> Claim {
+    Claim {
+        key,
+        digest,
+        version: 0,
+        held: None,
+        keyed,
+        contests: 0,
+    }
+}
+
 fn new_waiter(now: Instant, request: RequestId, deadline: Instant) -> Waiter {
     Waiter {
         request,
@@ -151,15 +239,30 @@
     submission: &Submission,
     refusal: Refusal,
 ) {
+    reply_at_once(cx, request, submission, vec![Reply::Refused(refusal)]);
+}
+
+/// Answers a request that never got into the books.
+pub(crate) fn reply_at_once(
+    cx: &mut Context,
+    request: RequestId,
+    submission: &Submission,
+    replies: Vec<Reply>,
+) {
+    let outcome = match refusal_in(&replies) {
+        Some(refusal) => Outcome::Refused(refusal.reason),
+        None => Outcome::Answered,
+    };
     let summary = Summary {
         service: submission.work.service.clone(),
-        outcome: Outcome::Refused(refusal.reason),
+        outcome,
         targets: Vec::new(),
         first_byte_ms: None,
-        total_ms: std::time::Duration::ZERO,
-        usage: types::Usage::default(),
+        total_ms: Duration::ZERO,
+        usage: Usage::default(),
     };
-    let reply = Reply::Refused(refusal);
-    cx.actions.push(Action::Reply { request, reply });
+    for reply in replies {
+        cx.actions.push(Action::Reply { request, reply });
+    }
     cx.actions.push(Action::Settled { request, summary });
 }
--- /dev/null
+++ b/components/request/src/sweep.rs
@@ -0,0 +1,290 @@
+//! Duty of the holder of the `sweep` lease: counting epochs and deleting expired claims.
+//!
+//! Two holders at once do no harm. An epoch is counted only by a transaction on the version
+//! that this process has seen unchanged for a whole epoch on its own clock, and a claim is
+//! deleted only at the version that was read.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::Check;
+use platform::CommitOutcome;
+use platform::PlatformError;
+use platform::Put;
+use platform::Row;
+use platform::RowVersion;
+use platform::TableReply;
+use platform::TableRequest;
+use platform::Transaction;
+use serde::Serialize;
+
+use crate::claim::CLAIM_PREFIX;
+use crate::claim::ClaimRow;
+use crate::claim::EPOCH_KEY;
+use crate::claim::EPOCH_MS;
+use crate::claim::EpochRow;
+use crate::tokens::Tokens;
+
+/// Row that every deletion writes, because a lost reply is resolved by a row that exists.
+pub const CURSOR_KEY: &str = "sweep-cursor";
+/// Time between two calls, which bounds the load on the table to 4 reads and 4 writes a second.
+const STEP_MS: Duration = Duration::from_millis(250);
+/// Rows read at once; 64 stored answers are at most 6 MB as JSON.
+const PAGE_ROWS: usize = 64;
+/// Time after which a call that has not ended is given up.
+const CALL_TIMEOUT_MS: Duration = Duration::from_secs(30);
+
+/// One event.
+#[derive(Debug)]
+pub enum SweepEvent {
+    /// This process took or lost the lease.
+    Lease {
+        /// It holds it now.
+        held: bool,
+    },
+    /// A call to the table ended.
+    TableDone {
+        /// Number from `SweepAction`.
+        operation: u64,
+        /// Its end.
+        result: Result<TableReply, PlatformError>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// Call the table and report its end with the same number.
+#[derive(Debug)]
+pub struct SweepAction {
+    /// Number of the call.
+    pub operation: u64,
+    /// The call.
+    pub request: TableRequest,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    ReadEpoch,
+    CountEpoch,
+    ReadPage,
+    Delete,
+}
+
+#[derive(Serialize)]
+struct CursorRow {
+    after: String,
+    token: String,
+}
+
+/// State of the duty.
+pub struct Sweep {
+    held: bool,
+    step: Step,
+    call: Option<(u64, Instant)>,
+    next_at: Option<Instant>,
+    operations: u64,
+    epoch: u64,
+    epoch_version: RowVersion,
+    epoch_seen: Option<Instant>,
+    after: String,
+    expired: Vec<Row>,
+    deleted: u64,
+    tokens: Tokens,
+}
+
+impl Sweep {
+    /// Starts without the lease. `seed` must differ between runs.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            held: false,
+            step: Step::ReadEpoch,
+            call: None,
+            next_at: None,
+            operations: 0,
+            epoch: 0,
+            epoch_version: 0,
+            epoch_seen: None,
+            after: String::new(),
+            expired: Vec::new(),
+            deleted: 0,
+            tokens: Tokens::new(0, seed),
+        }
+    }
+
+    /// Takes one event and returns the next call, if any.
+    pub fn handle(&mut self, now: Instant, event: SweepEvent) -> Option<SweepAction> {
+        match event {
+            SweepEvent::Lease { held } => self.lease(now, held),
+            SweepEvent::TableDone { operation, result } => self.done(now, operation, result),
+            SweepEvent::Tick => {}
+        }
+        self.next_call(now)
+    }
+
+    /// When `SweepEvent::Tick` is needed next.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Instant> {
+        match self.call {
+            Some((_, since)) => Some(since + CALL_TIMEOUT_MS),
+            None => self.next_at,
+        }
+    }
+
+    /// Claims deleted by this process.
+    #[must_use]
+    pub fn deleted(&self) -> u64 {
+        self.deleted
+    }
+
+    fn lease(&mut self, now: Instant, held: bool) {
+        if held == self.held {
+            return;
+        }
+        self.held = held;
+        self.step = Step::ReadEpoch;
+        self.call = None;
+        self.after.clear();
+        self.expired.clear();
+        self.next_at = held.then_some(now);
+    }
+
+    fn next_call(&mut self, now: Instant) -> Option<SweepAction> {
+        if let Some((_, since)) = self.call {
+            if now < since + CALL_TIMEOUT_MS {
+                return None;
+            }
+            self.call = None;
+            self.step = Step::ReadEpoch;
+        }
+        if !self.held || self.next_at.is_none_or(|at| at > now) {
+            return None;
+        }
+        let request = match self.step {
+            Step::ReadEpoch => TableRequest::Read(vec![EPOCH_KEY.to_owned()]),
+            Step::CountEpoch => self.count_epoch(),
+            Step::ReadPage => TableRequest::Scan {
+                prefix: CLAIM_PREFIX.to_owned(),
+                after: self.after.clone(),
+                limit: PAGE_ROWS,
+            },
+            Step::Delete => self.delete(),
+        };
+        self.operations += 1;
+        self.call = Some((self.operations, now));
+        self.next_at = Some(now + STEP_MS);
+        Some(SweepAction {
+            operation: self.operations,
+            request,
+        })
+    }
+
+    fn done(&mut self, now: Instant, operation: u64, result: Result<TableReply, PlatformError>) {
+        if self.call.is_none_or(|(number, _)| number != operation) {
+            return;
+        }
+        self.call = None;
+        let step = self.step;
+        self.step = Step::ReadEpoch;
+        match (step, result) {
+            (Step::ReadEpoch, Ok(TableReply::Rows(rows))) => self.epoch_read(now, rows.first()),
+            (Step::ReadPage, Ok(TableReply::Rows(rows))) => self.page_read(rows),
+            (Step::Delete, Ok(TableReply::Commit(outcome))) => self.page_deleted(&outcome),
+            _ => self.expired.clear(),
+        }
+    }
+
+    fn epoch_read(&mut self, now: Instant, row: Option<&Row>) {
+        let version = row.map_or(0, |row| row.version);
+        let value = row.and_then(|row| serde_json::from_str::<EpochRow>(&row.value).ok());
+        self.epoch = value.map_or(0, |value| value.epoch);
+        if version != self.epoch_version || self.epoch_seen.is_none() {
+            self.epoch_version = version;
+            self.epoch_seen = Some(now);
+        }
+        let since = self.epoch_seen.map(|seen| now.duration_since(seen));
+        self.step = if since.is_some_and(|since| since >= EPOCH_MS) {
+            Step::CountEpoch
+        } else {
+            Step::ReadPage
+        };
+    }
+
+    fn count_epoch(&mut self) -> TableRequest {
+        let value = EpochRow {
+            epoch: self.epoch + 1,
+            token: self.tokens.next(),
+        };
+        TableRequest::Commit(Transaction {
+            checks: vec![Check {
+                key: EPOCH_KEY.to_owned(),
+                version: self.epoch_version,
+            }],
+            puts: vec![Put {
+                key: EPOCH_KEY.to_owned(),
+                value: serde_json::to_string(&value).ok(),
+            }],
+            proof: EPOCH_KEY.to_owned(),
+        })
+    }
+
+    fn page_read(&mut self, rows: Vec<Row>) {
+        let whole = rows.len() >= PAGE_ROWS;
+        let last = rows.last().map(|row| row.key.clone());
+        self.after = last.filter(|_| whole).unwrap_or_default();
+        let epoch = self.epoch;
+        let expired = rows.into_iter().filter(|row| is_expired(row, epoch));
+        self.expired = expired.collect();
+        if !self.expired.is_empty() {
+            self.step = Step::Delete;
+        }
+    }
+
+    fn delete(&mut self) -> TableRequest {
+        let cursor = CursorRow {
+            after: self.after.clone(),
+            token: format!("{:032x}", self.tokens.next()),
+        };
+        let checks = self.expired.iter().map(|row| Check {
+            key: row.key.clone(),
+            version: row.version,
+        });
+        let puts = self.expired.iter().map(|row| Put {
+            key: row.key.clone(),
+            value: None,
+        });
+        let cursor = Put {
+            key: CURSOR_KEY.to_owned(),
+            value: serde_json::to_string(&cursor).ok(),
+        };
+        TableRequest::Commit(Transaction {
+            checks: checks.collect(),
+            puts: puts.chain([cursor]).collect(),
+            proof: CURSOR_KEY.to_owned(),
+        })
+    }
+
+    fn page_deleted(&mut self, outcome: &CommitOutcome) {
+        match outcome {
+            CommitOutcome::Committed(_) => {
+                self.deleted += self.expired.len() as u64;
+                self.expired.clear();
+            }
+            CommitOutcome::Conflict(rows) => {
+                let before = self.expired.len();
+                self.expired
+                    .retain(|row| rows.iter().all(|changed| changed.key != row.key));
+                // A conflict that names no row of the page is met again in the next pass.
+                if self.expired.len() < before && !self.expired.is_empty() {
+                    self.step = Step::Delete;
+                } else {
+                    self.expired.clear();
+                }
+            }
+        }
+    }
+}
+
+fn is_expired(row: &Row, epoch: u64) -> bool {
+    serde_json::from_str::<ClaimRow>(&row.value).is_ok_and(|claim| claim.expires_epoch < epoch)
+}
