--- /dev/null
+++ b/components/entry/src/core/duties.rs
@@ -0,0 +1,225 @@
+//! Duties that one entry at a time has: planning for a service, and the deletion of expired
+//! claims. Each is held by a lease.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use control::Lease;
+use control::LeaseAction;
+use control::LeaseEvent;
+use control::Snapshot;
+use platform::PlatformError;
+use platform::TableReply;
+use request::sweep::Sweep;
+use request::sweep::SweepAction;
+use request::sweep::SweepEvent;
+use types::Incarnation;
+use types::ServiceKind;
+use types::ServiceName;
+
+use crate::core::Action;
+use crate::core::EntryCore;
+use crate::core::Note;
+use crate::core::operations::Owner;
+
+/// Scope of the lease for the deletion of expired claims.
+const SWEEP_SCOPE: &str = "sweep";
+
+/// Leases that this entry holds or waits for.
+pub struct Duties {
+    me: Incarnation,
+    lease_ms: Duration,
+    seed: u64,
+    services: BTreeMap<ServiceName, Lease>,
+    sweep_lease: Lease,
+    sweep: Sweep,
+    released: bool,
+}
+
+impl Duties {
+    pub fn new(me: Incarnation, lease_ms: Duration, now: Instant, seed: u64) -> Self {
+        Self {
+            me,
+            lease_ms,
+            seed,
+            services: BTreeMap::new(),
+            sweep_lease: Lease::new(SWEEP_SCOPE, me, lease_ms, now, seed),
+            sweep: Sweep::new(seed),
+            released: false,
+        }
+    }
+
+    /// Whether no lease is held and no call about one is under way, after a release.
+    pub fn is_released(&self) -> bool {
+        self.released
+            && self.sweep_lease.is_released()
+            && self.services.values().all(Lease::is_released)
+    }
+}
+
+impl EntryCore {
+    /// A lease for each model service; plain services need no planning.
+    pub(super) fn set_duties(&mut self, now: Instant, snapshot: &Snapshot) {
+        if self.stopping {
+            return;
+        }
+        let duties = &mut self.duties;
+        for (name, service) in snapshot.services() {
+            if service.value.kind == ServiceKind::Model && !duties.services.contains_key(name) {
+                let lease = Lease::new(name, duties.me, duties.lease_ms, now, duties.seed);
+                duties.services.insert(name.clone(), lease);
+            }
+        }
+    }
+
+    pub(super) fn tick_duties(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due: Vec<ServiceName> = self
+            .duties
+            .services
+            .iter()
+            .filter(|(_, lease)| lease.next_wake() <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for service in due {
+            self.tell_lease(now, &service, LeaseEvent::Tick, actions);
+        }
+        if self.duties.sweep_lease.next_wake() <= now {
+            self.tell_sweep_lease(now, LeaseEvent::Tick, actions);
+        }
+        if self.duties.sweep.next_tick().is_some_and(|at| at <= now) {
+            self.tell_sweep(now, SweepEvent::Tick, actions);
+        }
+    }
+
+    pub(super) fn release_duties(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.duties.released = true;
+        let services: Vec<ServiceName> = self.duties.services.keys().cloned().collect();
+        for service in services {
+            self.tell_lease(now, &service, LeaseEvent::Release, actions);
+        }
+        self.tell_sweep(now, SweepEvent::Lease { held: false }, actions);
+        self.tell_sweep_lease(now, LeaseEvent::Release, actions);
+    }
+
+    pub(super) fn tell_lease(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        event: LeaseEvent,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.duties.services.get_mut(service) else {
+            return;
+        };
+        for action in lease.handle(now, event) {
+            match action {
+                LeaseAction::Table { operation, request } => {
+                    let operation = self.begin(Owner::Lease(service.clone()), operation);
+                    actions.push(Action::Table { operation, request });
+                }
+                LeaseAction::Acquired(held) => actions.push(Action::Note(Note::LeaseAcquired {
+                    scope: held.scope,
+                    fencing: held.fencing,
+                })),
+                LeaseAction::Lost => actions.push(Action::Note(Note::LeaseLost {
+                    scope: service.clone(),
+                })),
+            }
+        }
+    }
+
+    pub(super) fn tell_sweep_lease(
+        &mut self,
+        now: Instant,
+        event: LeaseEvent,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in self.duties.sweep_lease.handle(now, event) {
+            match action {
+                LeaseAction::Table { operation, request } => {
+                    let operation = self.begin(Owner::SweepLease, operation);
+                    actions.push(Action::Table { operation, request });
+                }
+                LeaseAction::Acquired(_) => {
+                    self.tell_sweep(now, SweepEvent::Lease { held: true }, actions);
+                }
+                LeaseAction::Lost => {
+                    self.tell_sweep(now, SweepEvent::Lease { held: false }, actions);
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell_sweep(
+        &mut self,
+        now: Instant,
+        event: SweepEvent,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(SweepAction { operation, request }) = self.duties.sweep.handle(now, event) else {
+            return;
+        };
+        let operation = self.begin(Owner::Sweep, operation);
+        actions.push(Action::Table { operation, request });
+    }
+
+    pub(super) fn table_done(
+        &mut self,
+        now: Instant,
+        operation: u64,
+        result: Result<TableReply, PlatformError>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((owner, operation)) = self.operations.end(operation) else {
+            return;
+        };
+        match owner {
+            Owner::Follower => {
+                let event = control::FollowerEvent::TableDone { operation, result };
+                self.tell_follower(now, event, actions);
+            }
+            Owner::Requests => {
+                let event = request::Event::TableDone { operation, result };
+                self.tell_requests(now, event, actions);
+            }
+            Owner::Lease(service) => {
+                let event = LeaseEvent::TableDone { operation, result };
+                self.tell_lease(now, &service, event, actions);
+            }
+            Owner::SweepLease => {
+                let event = LeaseEvent::TableDone { operation, result };
+                self.tell_sweep_lease(now, event, actions);
+            }
+            Owner::Sweep => {
+                let event = SweepEvent::TableDone { operation, result };
+                self.tell_sweep(now, event, actions);
+            }
+        }
+    }
+
+    /// Whether this entry holds the lease of a service.
+    pub(super) fn plans_for(&self, now: Instant, service: &str) -> bool {
+        let lease = self.duties.services.get(service);
+        lease.is_some_and(|lease| lease.held(now).is_some())
+    }
+
+    /// Latest decision about a service; `None` unless it was planned here.
+    pub(super) fn plan_of(&self, _service: &str) -> Option<serde_json::Value> {
+        None
+    }
+
+    pub(super) fn order_planned(
+        &mut self,
+        service: &str,
+        error: Option<String>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(detail) = error {
+            actions.push(Action::Note(Note::OrderNotWritten {
+                service: service.to_owned(),
+                detail,
+            }));
+        }
+    }
+}
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -1,4 +1,237 @@
 //! Decisions of an entry, composed from the state machines of the other components.
+//!
+//! `EntryCore::handle` takes one event and returns the actions to carry out, in order. It does
+//! no I/O, reads no clock, and takes all randomness from its seed, so that the daemon and
+//! randomised runs in virtual time drive the same code.
 
+mod configuration;
+mod duties;
+pub mod event;
+pub mod journal;
 pub mod links;
+pub mod note;
+pub mod operations;
+pub mod options;
 pub mod probes;
+mod report;
+mod router;
+mod traffic;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use control::Follower;
+use control::FollowerEvent;
+use control::Snapshot;
+use request::Requests;
+use request::Terms;
+use types::HostName;
+use types::Incarnation;
+use types::RequestId;
+use types::ServiceName;
+use types::request_id;
+
+pub use event::Action;
+pub use event::Event;
+pub use note::Note;
+pub use options::CoreOptions;
+
+use crate::core::duties::Duties;
+use crate::core::journal::Journal;
+use crate::core::links::Links;
+use crate::core::operations::Operations;
+use crate::core::operations::Owner;
+use crate::core::probes::Probes;
+use crate::core::router::PlanningRouter;
+
+/// Longest time between two ticks; bounds how late silence and probes are noticed.
+const TICK_MS: Duration = Duration::from_millis(50);
+
+/// State of an entry.
+pub struct EntryCore {
+    options: CoreOptions,
+    incarnation: Incarnation,
+    counter: u64,
+    follower: Follower,
+    terms: BTreeMap<ServiceName, Terms>,
+    applied: Option<Rc<Snapshot>>,
+    router: PlanningRouter,
+    requests: Requests,
+    links: Links,
+    probes: Probes,
+    duties: Duties,
+    operations: Operations,
+    journal: Journal,
+    leaving_hosts: BTreeSet<HostName>,
+    hosts_due: Instant,
+    hosts_failing: bool,
+    next_peer: usize,
+    next_tick: Instant,
+    stopping: bool,
+}
+
+impl EntryCore {
+    /// Starts without configuration. The incarnation is random and new for each run.
+    #[must_use]
+    pub fn new(options: CoreOptions, incarnation: Incarnation, now: Instant) -> Self {
+        let seed = incarnation;
+        let peers = options.peers.clone();
+        Self {
+            incarnation,
+            counter: 0,
+            follower: Follower::new(options.follower, now, seed),
+            terms: BTreeMap::new(),
+            applied: None,
+            router: PlanningRouter::new(options.routing.clone(), seed),
+            requests: Requests::new(incarnation, seed),
+            links: Links::new(options.links),
+            probes: Probes::new(now, incarnation, options.probe_ms, peers),
+            duties: Duties::new(incarnation, options.lease_ms, now, seed),
+            operations: Operations::default(),
+            journal: Journal::default(),
+            leaving_hosts: BTreeSet::new(),
+            hosts_due: now,
+            hosts_failing: false,
+            next_peer: 0,
+            next_tick: now,
+            stopping: false,
+            options,
+        }
+    }
+
+    /// Run of this process.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Id for the next request.
+    pub fn new_request(&mut self) -> RequestId {
+        self.counter += 1;
+        request_id(self.incarnation, self.counter)
+    }
+
+    /// What requests to a service are bound to now.
+    #[must_use]
+    pub fn terms(&self, service: &str) -> Option<&Terms> {
+        self.terms.get(service)
+    }
+
+    /// Latest snapshot; `None` until the first one was read.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Rc<Snapshot>> {
+        self.follower.snapshot()
+    }
+
+    /// Whether the entry was told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Whether nothing is left to do.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_idle() && self.duties.is_released()
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.requests.open()
+    }
+
+    /// When `Event::Tick` is needed next.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        let requests = self.requests.next_tick();
+        requests.map_or(self.next_tick, |at| at.min(self.next_tick))
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Submitted {
+                request,
+                submission,
+            } => self.submitted(now, request, submission, &mut actions),
+            Event::Consumed { request, bytes } => {
+                let event = request::Event::Consumed { request, bytes };
+                self.tell_requests(now, event, &mut actions);
+            }
+            Event::CallerGone { request } => {
+                let event = request::Event::CallerGone { request };
+                self.tell_requests(now, event, &mut actions);
+            }
+            Event::LinkMessage { link, message } => {
+                self.link_message(now, link, message, &mut actions);
+            }
+            Event::LinkClosed { link, detail } => {
+                self.link_closed(now, link, detail, &mut actions);
+            }
+            Event::Datagram(datagram) => self.datagram(now, datagram, &mut actions),
+            Event::TableDone { operation, result } => {
+                self.table_done(now, operation, result, &mut actions);
+            }
+            Event::Hosts(result) => self.hosts(now, result, &mut actions),
+            Event::PeerAsks { peer, after } => {
+                let event = FollowerEvent::PeerAsks { peer, after };
+                self.tell_follower(now, event, &mut actions);
+            }
+            Event::PeerAnswered { peer, answer } => {
+                let event = FollowerEvent::PeerAnswered { peer, answer };
+                self.tell_follower(now, event, &mut actions);
+            }
+            Event::OrderPlanned { service, error } => {
+                self.order_planned(&service, error, &mut actions);
+            }
+            Event::Leaving => self.leave(now, &mut actions),
+            Event::Tick => {}
+        }
+        self.tick(now, &mut actions);
+        actions
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.requests.next_tick().is_some_and(|at| at <= now) {
+            self.tell_requests(now, request::Event::Tick, actions);
+        }
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK_MS;
+        if self.follower.next_wake() <= now {
+            self.tell_follower(now, FollowerEvent::Tick, actions);
+        }
+        let links = self.links.tick(now);
+        self.carry_out_links(now, links, actions);
+        let head = self.follower.applied();
+        let outgoing = self.probes.tick(now, head, self.links.targets());
+        actions.extend(outgoing.into_iter().map(|out| Action::SendDatagram {
+            to: out.to,
+            datagram: out.datagram,
+        }));
+        if now >= self.hosts_due {
+            self.hosts_due = now + self.options.hosts_poll_ms;
+            actions.push(Action::ReadHosts);
+        }
+        self.tick_duties(now, actions);
+    }
+
+    fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.stopping = true;
+        actions.push(Action::Note(Note::Stopping {
+            in_flight: self.requests.open(),
+        }));
+        self.tell_requests(now, request::Event::Leaving, actions);
+        self.release_duties(now, actions);
+    }
+
+    fn begin(&mut self, owner: Owner, operation: u64) -> u64 {
+        self.operations.begin(owner, operation)
+    }
+}
--- /dev/null
+++ b/components/entry/src/core/report.rs
@@ -0,0 +1,156 @@
+//! What the entry tells operators about itself, and load reports within messages.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use request::Need;
+use routing::TargetView;
+use serde_json::Value;
+use serde_json::json;
+use types::LoadReport;
+use types::Loaded;
+use types::RequestId;
+use wire::ToEntry;
+
+use crate::core::EntryCore;
+
+/// Load report that a message carries.
+pub fn load_of(message: &ToEntry) -> Option<&LoadReport> {
+    match message {
+        ToEntry::Welcome { load, .. }
+        | ToEntry::Rejected { load, .. }
+        | ToEntry::End { load, .. }
+        | ToEntry::Pong { load, .. }
+        | ToEntry::Load(load) => Some(load),
+        ToEntry::Accepted { .. }
+        | ToEntry::Head { .. }
+        | ToEntry::Chunk { .. }
+        | ToEntry::Failed { .. }
+        | ToEntry::Forbidden { .. }
+        | ToEntry::Cache(_) => None,
+    }
+}
+
+/// Size of the request that candidates are explained for: a short question.
+const SAMPLE_PROMPT_TOKENS: u32 = 200;
+const SAMPLE_OUTPUT_TOKENS: u32 = 100;
+
+impl EntryCore {
+    /// State of the entry and of the targets as it sees them.
+    #[must_use]
+    pub fn status(&self, now: Instant) -> Value {
+        let behind = self.follower.behind(now).map(|behind| {
+            json!({
+                "known": behind.known,
+                "for_ms": millis(behind.for_ms),
+            })
+        });
+        let services: Vec<Value> = self
+            .terms
+            .iter()
+            .map(|(name, terms)| {
+                let targets: Vec<Value> =
+                    self.router.views(now, name).iter().map(describe).collect();
+                json!({
+                    "service": name,
+                    "profile": terms.profile.name,
+                    "planned_here": self.plans_for(now, name),
+                    "targets": targets,
+                })
+            })
+            .collect();
+        json!({
+            "entry": self.options.name,
+            "incarnation": format!("{:016x}", self.incarnation),
+            "revision": self.follower.applied(),
+            "behind": behind,
+            "stopping": self.stopping,
+            "requests_in_flight": self.requests.open(),
+            "services": services,
+        })
+    }
+
+    /// What is known about a request id or a target.
+    #[must_use]
+    pub fn explain(&self, now: Instant, subject: &str) -> Option<Value> {
+        if let Ok(request) = RequestId::from_str_radix(subject, 16)
+            && let Some(summary) = self.journal.find(request)
+        {
+            return Some(json!({
+                "request": subject,
+                "service": summary.service,
+                "outcome": format!("{:?}", summary.outcome),
+                "targets": summary.targets,
+                "first_byte_ms": summary.first_byte_ms.map(millis),
+                "total_ms": millis(summary.total_ms),
+                "prompt_tokens": summary.usage.prompt_tokens,
+                "cached_tokens": summary.usage.cached_tokens,
+                "output_tokens": summary.usage.output_tokens,
+            }));
+        }
+        self.explain_target(now, subject)
+    }
+
+    fn explain_target(&self, now: Instant, name: &str) -> Option<Value> {
+        let snapshot = self.follower.snapshot()?;
+        let target = snapshot.target(name)?;
+        let service = &target.value.service;
+        let views = self.router.views(now, service);
+        let view = views.iter().find(|view| view.name == name);
+        let order = snapshot.order(name);
+        Some(json!({
+            "target": target.value,
+            "revision": target.revision,
+            "order": order.map(|order| serde_json::json!(**order)),
+            "seen": view.map(describe),
+            "connected": self.links.link(&target.value.name).is_some(),
+            "candidates": self.candidates(now, service),
+            "plan": self.plan_of(service),
+        }))
+    }
+
+    fn candidates(&self, now: Instant, service: &str) -> Option<Vec<Value>> {
+        let terms = self.terms.get(service)?;
+        let need = Need {
+            service: service.to_owned(),
+            kind: terms.kind,
+            needs: Loaded::default(),
+            priority: terms.profile.priority,
+            prompt_tokens: SAMPLE_PROMPT_TOKENS,
+            max_output_tokens: SAMPLE_OUTPUT_TOKENS,
+            prefixes: Vec::new(),
+            deadline: now + terms.profile.deadline_ms,
+            concurrency_limit: terms.profile.concurrency_limit,
+            cache_affinity: terms.profile.cache_affinity,
+        };
+        let candidates = self.router.explain(now, &need);
+        let describe = |candidate: &routing::Candidate| {
+            json!({
+                "target": candidate.target,
+                "standing": format!("{:?}", candidate.standing),
+                "full": candidate.full,
+                "first_token_ms": candidate.estimate.first_token_ms(),
+                "total_ms": candidate.estimate.total_ms(),
+                "rank_ms": candidate.rank_ms,
+            })
+        };
+        Some(candidates.iter().map(describe).collect())
+    }
+}
+
+fn describe(view: &TargetView) -> Value {
+    json!({
+        "target": view.name,
+        "role": view.role,
+        "standing": format!("{:?}", view.standing),
+        "report_age_ms": view.report_age_ms.map(millis),
+        "requests": view.requests,
+        "prefill_tokens": view.prefill_tokens,
+        "decode_tokens": view.decode_tokens,
+        "applied": view.applied,
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/entry/src/core/traffic.rs
@@ -0,0 +1,242 @@
+//! Requests, connections and datagrams: passes events between the state machines.
+
+use std::time::Instant;
+
+use control::FollowerEvent;
+use request::Summary;
+use types::LoadReport;
+use types::Refusal;
+use types::RefusalReason;
+use types::Reply;
+use types::RequestId;
+use types::RunState;
+use types::Submission;
+use wire::Datagram;
+use wire::ToEntry;
+
+use crate::core::Action;
+use crate::core::EntryCore;
+use crate::core::Note;
+use crate::core::links::LinkAction;
+use crate::core::links::LinkId;
+use crate::core::operations::Owner;
+use crate::core::report;
+
+impl EntryCore {
+    pub(super) fn submitted(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        submission: Submission,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(terms) = self.terms.get(&submission.work.service).cloned() else {
+            let reply = Reply::Refused(self.no_terms(&submission.work.service));
+            actions.push(Action::Reply { request, reply });
+            return;
+        };
+        let event = request::Event::Submitted {
+            request,
+            submission,
+            terms,
+        };
+        self.tell_requests(now, event, actions);
+    }
+
+    /// Refusal for a service without terms.
+    #[must_use]
+    pub fn no_terms(&self, service: &str) -> Refusal {
+        if self.applied.is_none() {
+            return Refusal {
+                reason: RefusalReason::NotReady,
+                run: RunState::NotRun,
+                retry_after_ms: Some(self.options.follower.poll_ms),
+                detail: "this entry has no configuration yet".to_owned(),
+            };
+        }
+        Refusal {
+            reason: RefusalReason::UnknownService,
+            run: RunState::NotRun,
+            retry_after_ms: None,
+            detail: format!("there is no service `{service}`, or its profile is missing"),
+        }
+    }
+
+    pub(super) fn tell_requests(
+        &mut self,
+        now: Instant,
+        event: request::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in self.requests.handle(now, event, &mut self.router) {
+            match action {
+                request::Action::Reply { request, reply } => {
+                    actions.push(Action::Reply { request, reply });
+                }
+                request::Action::Send { target, message } => {
+                    if let Some(link) = self.links.link(&target) {
+                        actions.push(Action::Send { link, message });
+                    }
+                }
+                request::Action::Table { operation, request } => {
+                    let operation = self.operations.begin(Owner::Requests, operation);
+                    actions.push(Action::Table { operation, request });
+                }
+                request::Action::Settled { request, summary } => {
+                    self.settled(request, summary, actions);
+                }
+            }
+        }
+    }
+
+    fn settled(&mut self, request: RequestId, summary: Summary, actions: &mut Vec<Action>) {
+        let note = Note::RequestSettled {
+            request,
+            summary: Box::new(summary.clone()),
+        };
+        actions.push(Action::Note(note));
+        self.journal.push(request, summary);
+    }
+
+    pub(super) fn link_message(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        message: ToEntry,
+        actions: &mut Vec<Action>,
+    ) {
+        if let ToEntry::Welcome {
+            target,
+            incarnation,
+            load,
+        } = message
+        {
+            let links = self.links.welcomed(now, link, &target, incarnation);
+            self.carry_out_links(now, links, actions);
+            self.alive(now, &target, &load);
+            return;
+        }
+        let Some((target, incarnation)) = self.links.heard(now, link) else {
+            return;
+        };
+        self.router.probe_answered(now, &target, incarnation);
+        if let Some(load) = report::load_of(&message) {
+            self.router.load_report(now, &target, load);
+        }
+        match message {
+            ToEntry::Cache(events) => self.router.cache_events(&target, incarnation, &events),
+            ToEntry::Load(_) | ToEntry::Pong { .. } | ToEntry::Welcome { .. } => {}
+            message => {
+                let event = request::Event::Agent {
+                    target,
+                    incarnation,
+                    message,
+                };
+                self.tell_requests(now, event, actions);
+            }
+        }
+    }
+
+    pub(super) fn link_closed(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        detail: Option<String>,
+        actions: &mut Vec<Action>,
+    ) {
+        let links = self.links.closed(now, link);
+        let is_down = |action: &LinkAction| matches!(action, LinkAction::Down { .. });
+        if let (Some(LinkAction::Down { target }), Some(detail)) =
+            (links.iter().find(|action| is_down(action)), detail)
+        {
+            actions.push(Action::Note(Note::TargetDown {
+                target: target.clone(),
+                detail,
+            }));
+        }
+        self.carry_out_links(now, links, actions);
+    }
+
+    pub(super) fn carry_out_links(
+        &mut self,
+        now: Instant,
+        links: Vec<LinkAction>,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in links {
+            match action {
+                LinkAction::Open {
+                    link,
+                    target,
+                    address,
+                } => actions.push(Action::OpenLink {
+                    link,
+                    target,
+                    address,
+                }),
+                LinkAction::Close { link } => actions.push(Action::CloseLink { link }),
+                LinkAction::Send { link, message } => {
+                    actions.push(Action::Send { link, message });
+                }
+                LinkAction::Up {
+                    target,
+                    incarnation,
+                } => {
+                    actions.push(Action::Note(Note::TargetUp {
+                        target: target.clone(),
+                        incarnation,
+                    }));
+                    let event = request::Event::ConnectionUp {
+                        target,
+                        incarnation,
+                    };
+                    self.tell_requests(now, event, actions);
+                }
+                LinkAction::Down { target } => {
+                    self.router.unreachable(now, &target);
+                    let event = request::Event::ConnectionDown { target };
+                    self.tell_requests(now, event, actions);
+                }
+                LinkAction::IncarnationGone {
+                    target,
+                    incarnation,
+                } => {
+                    actions.push(Action::Note(Note::AgentGone {
+                        target: target.clone(),
+                        incarnation,
+                    }));
+                    let event = request::Event::IncarnationGone {
+                        target,
+                        incarnation,
+                    };
+                    self.tell_requests(now, event, actions);
+                }
+            }
+        }
+    }
+
+    pub(super) fn datagram(&mut self, now: Instant, datagram: Datagram, actions: &mut Vec<Action>) {
+        match datagram {
+            Datagram::Alive {
+                target,
+                sequence,
+                load,
+            } => {
+                // An old datagram that was delayed or replayed is no sign of life.
+                if self.probes.answered(&target, sequence) {
+                    self.alive(now, &target, &load);
+                }
+            }
+            Datagram::Head { entry, head } if entry != self.incarnation => {
+                let event = FollowerEvent::Hint { revision: head };
+                self.tell_follower(now, event, actions);
+            }
+            Datagram::Head { .. } | Datagram::Probe { .. } => {}
+        }
+    }
+
+    fn alive(&mut self, now: Instant, target: &str, load: &LoadReport) {
+        self.router.probe_answered(now, target, load.incarnation);
+        self.router.load_report(now, target, load);
+    }
+}
--- /dev/null
+++ b/components/entry/src/daemon/operator.rs
@@ -0,0 +1,145 @@
+//! The entry as the operators' port sees it, and planned orders.
+
+use std::rc::Rc;
+
+use control::Author;
+use control::CommandError;
+use control::CommandOutcome;
+use control::CommandRequest;
+use control::HeldLease;
+use control::PlanKept;
+use control::PlannedOrder;
+use operators::Control;
+use operators::ControlFuture;
+use serde_json::Value;
+use serde_json::json;
+use types::Change;
+use types::OrderKind;
+use types::Profile;
+use types::Revision;
+use types::Service;
+use types::TargetName;
+use wire::Datagram;
+
+use crate::core::Event;
+use crate::daemon::Daemon;
+
+/// Carries out operators' commands.
+pub struct EntryControl {
+    daemon: Rc<Daemon>,
+}
+
+impl EntryControl {
+    pub fn new(daemon: Rc<Daemon>) -> Self {
+        Self { daemon }
+    }
+}
+
+impl Control for EntryControl {
+    fn execute(
+        &self,
+        operator: String,
+        request: CommandRequest,
+    ) -> ControlFuture<'_, CommandOutcome> {
+        Box::pin(async move {
+            let outcome = self.daemon.control.execute(&operator, &request).await?;
+            if !outcome.dry_run {
+                self.daemon.hint(outcome.change.revision);
+            }
+            Ok(outcome)
+        })
+    }
+
+    fn profiles(&self) -> Vec<(Revision, Profile)> {
+        let core = self.daemon.core.borrow();
+        let profiles = core.snapshot().into_iter().flat_map(|s| s.profiles());
+        profiles
+            .map(|(_, profile)| (profile.revision, profile.value.clone()))
+            .collect()
+    }
+
+    fn services(&self) -> Vec<Service> {
+        let core = self.daemon.core.borrow();
+        let services = core.snapshot().into_iter().flat_map(|s| s.services());
+        services.map(|(_, service)| service.value.clone()).collect()
+    }
+
+    fn status(&self) -> Value {
+        let now = self.daemon.clock.now();
+        let mut status = self.daemon.core.borrow().status(now);
+        let heads = self.daemon.heads.borrow();
+        let entries: Vec<Value> = heads
+            .iter()
+            .map(|(address, (revision, seen))| {
+                let age_ms = now.saturating_duration_since(*seen).as_millis();
+                json!({"address": address, "revision": revision, "age_ms": age_ms})
+            })
+            .collect();
+        status["entries"] = Value::Array(entries);
+        status
+    }
+
+    fn explain(&self, subject: &str) -> Option<Value> {
+        let now = self.daemon.clock.now();
+        self.daemon.core.borrow().explain(now, subject)
+    }
+
+    fn audit(&self, before: Option<Revision>, limit: usize) -> ControlFuture<'_, Vec<Change>> {
+        Box::pin(async move {
+            control::audit(self.daemon.table.as_ref(), before, limit)
+                .await
+                .map_err(|error| CommandError::Unavailable {
+                    detail: error.to_string(),
+                })
+        })
+    }
+}
+
+impl Daemon {
+    /// Reads the log at once instead of at the next poll.
+    fn hint(self: &Rc<Self>, head: Revision) {
+        self.feed(Event::Datagram(Datagram::Head { entry: 0, head }));
+    }
+
+    pub(super) fn plan_order(
+        self: &Rc<Self>,
+        held: HeldLease,
+        target: TargetName,
+        kind: OrderKind,
+        reason: String,
+    ) {
+        let daemon = self.clone();
+        self.spawn(async move {
+            let service = held.scope.clone();
+            let intent = PlannedOrder {
+                held,
+                target,
+                kind,
+                supersedes: None,
+            };
+            let result = daemon.apply_planned(&intent, &reason).await;
+            let error = result.err().map(|error| error.to_string());
+            daemon.feed(Event::OrderPlanned { service, error });
+        });
+    }
+
+    pub(super) fn keep_plan(self: &Rc<Self>, held: HeldLease, reason: String) {
+        let daemon = self.clone();
+        self.spawn(async move {
+            // The audit trail lacks this record if the lease was lost; the new holder decides.
+            let _ = daemon.apply_planned(&PlanKept { held }, &reason).await;
+        });
+    }
+
+    async fn apply_planned<I>(self: &Rc<Self>, intent: &I, reason: &str) -> Result<(), CommandError>
+    where
+        I: control::Intent<Error = CommandError>,
+    {
+        let by = format!("planner on {}", self.settings.name);
+        let author = Author { by: &by, reason };
+        if let Some(change) = self.control.apply(intent, author).await? {
+            self.hint(change.revision);
+        }
+        Ok(())
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,3 +4,7 @@
 //! into its events and carries out its actions, all on one thread.
 
 pub mod core;
+mod daemon;
+mod options;
+
+pub use daemon::run;
--- /dev/null
+++ b/components/entry/src/options.rs
@@ -0,0 +1,45 @@
+//! Turns settings into the options of the decisions.
+
+use control::FollowerOptions;
+use settings::EntrySettings;
+use wire::Key;
+use wire::Keyring;
+
+use crate::core::CoreOptions;
+use crate::core::links::LinkTimes;
+
+/// Options of the core.
+#[must_use]
+pub fn core(settings: &EntrySettings) -> CoreOptions {
+    let own = settings.addresses.peers;
+    let mut routing = routing::Settings::new(settings.place.clone());
+    routing.distance_ms.clone_from(&settings.distance_ms);
+    CoreOptions {
+        name: settings.name.clone(),
+        routing,
+        follower: FollowerOptions {
+            poll_ms: settings.intervals.poll_ms,
+            ..FollowerOptions::default()
+        },
+        links: LinkTimes::default(),
+        probe_ms: settings.intervals.probe_ms,
+        hosts_poll_ms: settings.intervals.hosts_poll_ms,
+        lease_ms: settings.intervals.lease_ms,
+        peers: settings
+            .peers
+            .iter()
+            .copied()
+            .filter(|peer| *peer != own)
+            .collect(),
+    }
+}
+
+/// Keys for frames and datagrams; `None` without any.
+#[must_use]
+pub fn keyring(settings: &EntrySettings) -> Option<Keyring> {
+    let key = |key: &settings::KeySettings| Key {
+        id: key.id,
+        secret: key.secret.0,
+    };
+    Keyring::new(settings.keys.iter().map(key).collect())
+}
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -31,6 +31,7 @@
 pub use ids::Revision;
 pub use ids::ServiceName;
 pub use ids::TargetName;
+pub use ids::request_id;
 pub use load::CacheEvent;
 pub use load::LoadReport;
 pub use order::Order;
