--- /dev/null
+++ b/components/callers/src/port.rs
@@ -0,0 +1,195 @@
+//! The callers' port.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_lite::io;
+use http::Exchange;
+use http::Handler;
+use http::HandlerFuture;
+use http::HungUp;
+use http::Problem;
+use http::Request;
+use http::ServerLimits;
+use http_types::Response;
+use http_types::StatusCode;
+use settings::CallerIdentity;
+use settings::EntrySettings;
+use settings::Limits;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use types::RunState;
+
+use crate::admission;
+use crate::admission::Route;
+use crate::answer;
+use crate::gateway::Gateway;
+use crate::identity;
+use crate::refusal;
+
+/// Time after which callers come back if too many requests are in flight.
+const BUSY_RETRY_MS: Duration = Duration::from_secs(1);
+
+/// Handler of callers' requests.
+pub struct CallersPort {
+    gateway: Rc<dyn Gateway>,
+    identity: RefCell<CallerIdentity>,
+    request_limit: Cell<usize>,
+    in_flight: Cell<usize>,
+}
+
+/// Serves callers until the stop channel is closed and every answer is finished.
+///
+/// # Errors
+///
+/// As `http::serve`.
+pub async fn serve(
+    listener: TcpListener,
+    limits: &Limits,
+    port: Rc<CallersPort>,
+    executor: Rc<LocalExecutor<'static>>,
+    stop: Receiver<()>,
+) -> io::Result<()> {
+    http::serve(listener, server_limits(limits), port, executor, stop).await
+}
+
+/// Limits of callers' connections.
+#[must_use]
+pub fn server_limits(limits: &Limits) -> ServerLimits {
+    ServerLimits {
+        connections: limits.connections,
+        head_limit_bytes: limits.head_bytes,
+        field_limit: limits.head_fields,
+        head_ms: limits.head_ms,
+        body_ms: limits.body_ms,
+        idle_ms: limits.idle_ms,
+        write_stall_ms: limits.write_stall_ms,
+    }
+}
+
+impl CallersPort {
+    /// A port without requests.
+    #[must_use]
+    pub fn new(settings: &EntrySettings, gateway: Rc<dyn Gateway>) -> Self {
+        Self {
+            gateway,
+            identity: RefCell::new(settings.caller_identity.clone()),
+            request_limit: Cell::new(settings.limits.requests),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Takes over a changed limit of requests in flight.
+    pub fn set_request_limit(&self, limit: usize) {
+        self.request_limit.set(limit);
+    }
+
+    async fn answer(&self, request: Request, exchange: &mut Exchange) -> Result<u16, HungUp> {
+        match Route::of(&request.head) {
+            Ok(Route::Health) => self.report(exchange, self.gateway.health().staying).await,
+            Ok(Route::Ready) => {
+                let health = self.gateway.health();
+                self.report(exchange, health.staying && health.ready).await
+            }
+            Ok(Route::Metrics) => {
+                let mut head = Response::new(StatusCode::Ok);
+                head.insert_header("content-type", "text/plain; version=0.0.4");
+                let body = self.gateway.metrics();
+                exchange.respond(head, body.as_bytes()).await.map(|()| 200)
+            }
+            Ok(Route::Service { service, .. }) => match self.gateway.limits(service) {
+                Ok(limits) => {
+                    let peer = request.peer;
+                    let caller = identity::name(&self.identity.borrow(), &request.head, peer);
+                    match admission::submission(&request.head, request.body, caller, &limits) {
+                        Ok(submission) => self.submit(submission, exchange).await,
+                        Err(problem) => send(exchange, &problem).await,
+                    }
+                }
+                Err(refused) => send(exchange, &refusal::problem(&refused)).await,
+            },
+            Err(problem) => send(exchange, &problem).await,
+        }
+    }
+
+    async fn submit(
+        &self,
+        submission: types::Submission,
+        exchange: &mut Exchange,
+    ) -> Result<u16, HungUp> {
+        if self.in_flight.get() >= self.request_limit.get() {
+            return send(exchange, &busy()).await;
+        }
+        self.in_flight.set(self.in_flight.get() + 1);
+        let (request, replies) = self.gateway.submit(submission);
+        let result = answer::relay(&*self.gateway, request, &replies, exchange).await;
+        self.in_flight.set(self.in_flight.get() - 1);
+        if result.is_err() {
+            self.gateway.hang_up(request);
+        }
+        result
+    }
+
+    async fn report(&self, exchange: &mut Exchange, healthy: bool) -> Result<u16, HungUp> {
+        let (status, body) = if healthy {
+            (StatusCode::Ok, "ok\n")
+        } else {
+            (StatusCode::ServiceUnavailable, "no\n")
+        };
+        let mut head = Response::new(status);
+        head.insert_header("content-type", "text/plain");
+        exchange.respond(head, body.as_bytes()).await?;
+        Ok(status.into())
+    }
+}
+
+impl Handler for CallersPort {
+    fn admit(&self, head: &http_types::Request) -> Result<u64, Problem> {
+        let Route::Service { service, path } = Route::of(head)? else {
+            return Ok(0);
+        };
+        let limits = self
+            .gateway
+            .limits(service)
+            .map_err(|refused| refusal::problem(&refused))?;
+        admission::check_head(head, path, &limits)?;
+        if self.in_flight.get() >= self.request_limit.get() {
+            return Err(busy());
+        }
+        Ok(limits.body_limit_bytes)
+    }
+
+    fn handle<'a>(&'a self, request: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a> {
+        Box::pin(async move {
+            let class = match self.answer(request, exchange).await {
+                Ok(200..=299) => "2xx",
+                Ok(400..=499) => "4xx",
+                Ok(500..=599) => "5xx",
+                Ok(_) => "other",
+                Err(HungUp) => "hung-up",
+            };
+            metrics::counter!("callers_answers_total", "class" => class).increment(1);
+        })
+    }
+}
+
+async fn send(exchange: &mut Exchange, problem: &Problem) -> Result<u16, HungUp> {
+    let (head, body) = problem.to_answer();
+    exchange.respond(head, &body).await?;
+    Ok(problem.status)
+}
+
+fn busy() -> Problem {
+    Problem::new(503, "overloaded", "too many requests are in flight here")
+        .run(RunState::NotRun)
+        .retry_after(BUSY_RETRY_MS)
+}
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -109,11 +109,8 @@
     /// # Errors
     ///
     /// `HungUp` if the peer does not take it.
-    pub async fn start(&mut self, mut head: Response) -> Result<(), HungUp> {
-        self.mark_close(&mut head);
-        head.set_body(Body::from_reader(io::empty(), None));
-        encode_head(head, &mut self.output);
-        self.progress = Progress::Streaming;
+    pub async fn start(&mut self, head: Response) -> Result<(), HungUp> {
+        self.queue_head(head);
         self.flush().await
     }
 
@@ -123,13 +120,7 @@
     ///
     /// `HungUp` if the peer does not take them.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HungUp> {
-        if self.head_only || bytes.is_empty() {
-            return Ok(());
-        }
-        // Writing to a vector cannot fail.
-        let _ = write!(self.output, "{:x}\r\n", bytes.len());
-        self.output.extend_from_slice(bytes);
-        self.output.extend_from_slice(b"\r\n");
+        self.queue(bytes);
         self.flush().await
     }
 
@@ -147,6 +138,29 @@
         Ok(())
     }
 
+    /// Like `start`, but the head is sent together with what follows.
+    pub fn queue_head(&mut self, mut head: Response) {
+        self.mark_close(&mut head);
+        let media_type = head.header("content-type").is_some();
+        head.set_body(Body::from_reader(io::empty(), None));
+        if !media_type {
+            head.remove_header("content-type");
+        }
+        encode_head(head, &mut self.output);
+        self.progress = Progress::Streaming;
+    }
+
+    /// Like `write`, but the bytes are sent together with what follows.
+    pub fn queue(&mut self, bytes: &[u8]) {
+        if self.head_only || bytes.is_empty() {
+            return;
+        }
+        // Writing to a vector cannot fail.
+        let _ = write!(self.output, "{:x}\r\n", bytes.len());
+        self.output.extend_from_slice(bytes);
+        self.output.extend_from_slice(b"\r\n");
+    }
+
     /// Whether the head of the answer was sent.
     #[must_use]
     pub fn is_started(&self) -> bool {
@@ -171,7 +185,12 @@
         }
     }
 
-    pub(crate) async fn flush(&mut self) -> Result<(), HungUp> {
+    /// Sends what is queued; returns when the socket has taken it.
+    ///
+    /// # Errors
+    ///
+    /// `HungUp` if the peer does not take it.
+    pub async fn flush(&mut self) -> Result<(), HungUp> {
         let mut written = 0;
         let result = poll_fn(|cx| {
             while written < self.output.len() {
