--- /dev/null
+++ b/components/agent/src/daemon/engine.rs
@@ -0,0 +1,135 @@
+//! The engine's control interface over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Client;
+use http::ClientError;
+use http::ClientLimits;
+use http::WholeResponse;
+use http_types::Method;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use types::CacheEvent;
+use types::FencingNumber;
+use types::Order;
+use types::OrderKind;
+use types::OrderNumber;
+
+use crate::event::EngineLoad;
+use crate::event::EngineState;
+use crate::event::OrderOutcome;
+
+/// Time for the engine to answer a question about itself.
+const ANSWER_LIMIT_MS: Duration = Duration::from_secs(2);
+/// Time for the engine to take an order on; `order_settle_ms` must be longer.
+const ORDER_LIMIT_MS: Duration = Duration::from_secs(5);
+/// Largest answer.
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+
+/// Client of the engine's control interface.
+pub struct EngineClient {
+    questions: Client,
+    orders: Client,
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    number: OrderNumber,
+    fencing: FencingNumber,
+    order: &'a OrderKind,
+}
+
+#[derive(Deserialize)]
+struct CacheAnswer {
+    events: Vec<CacheEvent>,
+}
+
+impl EngineClient {
+    /// Opens no connection yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            questions: Client::new(address, limits(ANSWER_LIMIT_MS)),
+            orders: Client::new(address, limits(ORDER_LIMIT_MS)),
+        }
+    }
+
+    /// State of the engine.
+    pub async fn state(&self) -> Result<EngineState, String> {
+        self.get("/state").await
+    }
+
+    /// Load of the engine.
+    pub async fn load(&self) -> Option<EngineLoad> {
+        self.get("/load").await.ok()
+    }
+
+    /// Cache events after a sequence number.
+    pub async fn cache_events(&self, after: u64) -> Option<Vec<CacheEvent>> {
+        let path = format!("/cache/events?after={after}");
+        let answer: CacheAnswer = self.get(&path).await.ok()?;
+        Some(answer.events)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, String> {
+        let request = self
+            .questions
+            .request(Method::Get, path)
+            .map_err(|error| error.to_string())?;
+        let response = self
+            .questions
+            .send_whole(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        if !response.status.is_success() {
+            return Err(format!("{path} answered {}", response.status));
+        }
+        serde_json::from_slice(&response.body).map_err(|error| format!("{path}: {error}"))
+    }
+
+    /// Passes an order on.
+    pub async fn pass(&self, order: &Order) -> OrderOutcome {
+        let body = OrderBody {
+            number: order.number,
+            fencing: order.fencing,
+            order: &order.kind,
+        };
+        let answer = self.post("/orders", &body).await;
+        match answer {
+            Ok(response) if response.status.is_success() => OrderOutcome::Taken,
+            Ok(response) => {
+                let detail = format!(
+                    "{} {}",
+                    response.status,
+                    String::from_utf8_lossy(&response.body)
+                );
+                if response.status == http_types::StatusCode::Conflict {
+                    OrderOutcome::Fenced(detail)
+                } else {
+                    OrderOutcome::Refused(detail)
+                }
+            }
+            Err(error) if error.was_sent() => OrderOutcome::Unanswered(error.to_string()),
+            Err(error) => OrderOutcome::NotSent(error.to_string()),
+        }
+    }
+
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<WholeResponse, ClientError> {
+        let mut request = self.orders.request(Method::Post, path)?;
+        request.insert_header("content-type", "application/json");
+        request.set_body(serde_json::to_string(body).unwrap_or_default());
+        self.orders.send_whole(request).await
+    }
+}
+
+fn limits(answer_ms: Duration) -> ClientLimits {
+    ClientLimits {
+        idle_connections: 2,
+        connect_ms: ANSWER_LIMIT_MS,
+        head_ms: answer_ms,
+        stall_ms: answer_ms,
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        ..ClientLimits::default()
+    }
+}
--- /dev/null
+++ b/components/agent/src/daemon/mod.rs
@@ -0,0 +1,255 @@
+//! The daemon: one loop on one thread that carries out what the state machine asks for.
+
+mod connections;
+mod engine;
+mod log;
+mod runs;
+mod server;
+mod signals;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use eyre::WrapErr;
+use http::Client;
+use platform::Table;
+use platform::WeightStore;
+use slog::Logger;
+use smol::LocalExecutor;
+use smol::net::UdpSocket;
+use wire::Datagram;
+use wire::Keyring;
+use wire::ToEntry;
+
+use crate::daemon::connections::Connections;
+use crate::daemon::engine::EngineClient;
+use crate::daemon::runs::Runs;
+use crate::event::Action;
+use crate::event::Event;
+use crate::event::ExitReason;
+use crate::limits::Limits;
+use crate::limits::TICK_MS;
+use crate::machine::Agent;
+
+/// What a daemon is made of.
+pub struct Parts {
+    /// Identity and limits.
+    pub limits: Limits,
+    /// HTTP address of the target.
+    pub target: SocketAddr,
+    /// Keys for frames and datagrams.
+    pub keys: Keyring,
+    /// The table, guarded.
+    pub table: Rc<dyn Table>,
+    /// The weight store.
+    pub weights: Rc<dyn WeightStore>,
+    /// Destination of log events.
+    pub logger: Logger,
+}
+
+/// Everything that the tasks of a daemon share.
+pub(crate) struct Daemon {
+    agent: RefCell<Agent>,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) connections: Connections,
+    pub(crate) runs: Runs,
+    pub(crate) client: Client,
+    pub(crate) keys: Keyring,
+    pub(crate) is_model: bool,
+    engine: EngineClient,
+    table: Rc<dyn Table>,
+    weights: Rc<dyn WeightStore>,
+    udp: UdpSocket,
+    pub(crate) logger: Logger,
+    exit: Sender<ExitReason>,
+}
+
+/// Wall-clock time since the Unix epoch, for audit records.
+#[must_use]
+pub fn wall_ms() -> std::time::Duration {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Serves until the process is asked to stop or loses the target.
+///
+/// # Errors
+///
+/// The port is taken, or another run of the agent holds the target.
+pub fn serve(parts: Parts) -> eyre::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let run = serve_on(parts, executor.clone());
+    smol::block_on(executor.run(run))
+}
+
+async fn serve_on(parts: Parts, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
+    let address = parts.limits.address;
+    let (listener, udp) = server::bind(address)?;
+    let (exit, exited) = async_channel::bounded(1);
+    let daemon = Rc::new(Daemon::new(parts, executor, udp, exit));
+    signals::spawn(&daemon).wrap_err("cannot listen for signals")?;
+    server::spawn(&daemon, listener);
+    spawn_ticks(&daemon);
+    let reason = wait(exited).await;
+    connections::flush(&daemon).await;
+    match reason {
+        ExitReason::Stopped => Ok(()),
+        ExitReason::Superseded => Err(eyre::eyre!(
+            "another run of the agent holds the target; stop one of the two"
+        )),
+    }
+}
+
+async fn wait(exited: Receiver<ExitReason>) -> ExitReason {
+    exited.recv().await.unwrap_or(ExitReason::Stopped)
+}
+
+fn spawn_ticks(daemon: &Rc<Daemon>) {
+    let ticking = daemon.clone();
+    daemon.spawn(async move {
+        loop {
+            ticking.tell(Event::Tick);
+            ticking.runs.record(&ticking.agent.borrow());
+            smol::Timer::after(TICK_MS).await;
+        }
+    });
+}
+
+impl Daemon {
+    fn new(
+        parts: Parts,
+        executor: Rc<LocalExecutor<'static>>,
+        udp: UdpSocket,
+        exit: Sender<ExitReason>,
+    ) -> Self {
+        Self {
+            is_model: parts.limits.kind == types::ServiceKind::Model,
+            agent: RefCell::new(Agent::new(parts.limits)),
+            executor,
+            connections: Connections::default(),
+            runs: Runs::default(),
+            client: Client::new(parts.target, runs::client_limits()),
+            keys: parts.keys,
+            engine: EngineClient::new(parts.target),
+            table: parts.table,
+            weights: parts.weights,
+            udp,
+            logger: parts.logger,
+            exit,
+        }
+    }
+
+    /// Tells the state machine of an event and carries out its actions, in order. No action
+    /// calls back before all of them are under way.
+    pub(crate) fn tell(self: &Rc<Self>, event: Event) {
+        let actions = self.agent.borrow_mut().handle(Instant::now(), event);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    fn perform(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send {
+                connection,
+                message,
+            } => {
+                count_message(&message);
+                self.connections.send(connection, message);
+            }
+            Action::Close { connection } => self.connections.close(connection),
+            Action::Datagram { to, datagram } => self.send_datagram(to, &datagram),
+            Action::Start {
+                run,
+                attempt,
+                priority,
+                work,
+            } => runs::start(self, run, attempt, priority, *work),
+            Action::Read { run } => self.runs.read(run),
+            Action::Abort { run, attempt } => runs::abort(self, run, attempt),
+            Action::ReadEngineState => self.ask(|daemon| async move {
+                let state = daemon.engine.state().await;
+                Some(Event::EngineState(state))
+            }),
+            Action::ReadEngineLoad => self.ask(|daemon| async move {
+                let load = daemon.engine.load().await;
+                load.map(Event::EngineLoad)
+            }),
+            Action::ReadCacheEvents { after } => self.ask(move |daemon| async move {
+                let events = daemon.engine.cache_events(after).await;
+                events.map(Event::CacheEvents)
+            }),
+            Action::PassOrder(order) => self.ask(move |daemon| async move {
+                let outcome = daemon.engine.pass(&order).await;
+                Some(Event::OrderPassed(outcome))
+            }),
+            Action::ReserveSlot { model, version } => self.ask(move |daemon| async move {
+                let slot = daemon.weights.reserve(&model, &version).await;
+                Some(Event::Slot(slot))
+            }),
+            Action::Table { operation, request } => self.ask(move |daemon| async move {
+                let result = daemon.table.call(request).await;
+                Some(Event::TableDone { operation, result })
+            }),
+            Action::Log(note) => log::write(&self.logger, &note),
+            Action::Exit(reason) => {
+                let _ = self.exit.try_send(reason);
+            }
+        }
+    }
+
+    /// Asks something outside and tells the state machine the answer, if there is one.
+    fn ask<F>(self: &Rc<Self>, question: impl FnOnce(Rc<Self>) -> F)
+    where
+        F: Future<Output = Option<Event>> + 'static,
+    {
+        let answer = question(self.clone());
+        let daemon = self.clone();
+        self.spawn(async move {
+            if let Some(event) = answer.await {
+                daemon.tell(event);
+            }
+        });
+    }
+
+    fn send_datagram(self: &Rc<Self>, to: SocketAddr, datagram: &Datagram) {
+        let Ok(bytes) = datagram.encode(&self.keys) else {
+            return;
+        };
+        let daemon = self.clone();
+        self.spawn(async move {
+            // A lost datagram is made up for by the next one.
+            let _ = daemon.udp.send_to(&bytes, to).await;
+        });
+    }
+
+    pub(crate) fn udp(&self) -> &UdpSocket {
+        &self.udp
+    }
+}
+
+fn count_message(message: &ToEntry) {
+    match message {
+        ToEntry::Accepted { .. } => metrics::counter!("agent_accepted_total").increment(1),
+        ToEntry::Rejected { reason, .. } => {
+            metrics::counter!("agent_rejected_total", "reason" => log::reason(*reason))
+                .increment(1);
+        }
+        ToEntry::End { .. } => metrics::counter!("agent_answered_total").increment(1),
+        ToEntry::Failed { .. } => metrics::counter!("agent_failed_total").increment(1),
+        ToEntry::Chunk { bytes, .. } => {
+            metrics::counter!("agent_relayed_bytes_total").increment(bytes.len() as u64);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/components/agent/src/daemon/runs.rs
@@ -0,0 +1,190 @@
+//! Runs of attempts at the target over HTTP.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use http::ClientError;
+use http::ClientLimits;
+use http_types::Request;
+use smol::Task;
+use types::AttemptId;
+use types::Method;
+use types::Work;
+
+use crate::daemon::Daemon;
+use crate::event::Event;
+use crate::event::RunId;
+use crate::event::TargetEvent;
+use crate::machine::Agent;
+
+/// Most cache pieces named in the head of a request; the head of HTTP messages is bounded.
+const PIECE_LIMIT: usize = 128;
+/// Idle connections to the target.
+const IDLE_CONNECTIONS: usize = 128;
+/// The state machine bounds runs by their deadlines; this only frees what it forgot.
+const ANSWER_LIMIT_MS: Duration = Duration::from_hours(1);
+
+/// Limits of the client for runs.
+pub fn client_limits() -> ClientLimits {
+    ClientLimits {
+        idle_connections: IDLE_CONNECTIONS,
+        head_ms: ANSWER_LIMIT_MS,
+        stall_ms: ANSWER_LIMIT_MS,
+        ..ClientLimits::default()
+    }
+}
+
+/// Runs under way.
+#[derive(Default)]
+pub struct Runs {
+    open: RefCell<HashMap<RunId, Open>>,
+}
+
+struct Open {
+    reads: Sender<()>,
+    /// Dropped to give the run up.
+    task: Task<()>,
+}
+
+impl Runs {
+    /// Lets a run deliver its next bytes.
+    pub fn read(&self, run: RunId) {
+        if let Some(open) = self.open.borrow().get(&run) {
+            let _ = open.reads.try_send(());
+        }
+    }
+
+    /// Records gauges.
+    #[expect(
+        clippy::unused_self,
+        reason = "gauges of the daemon's runs belong to it"
+    )]
+    pub fn record(&self, agent: &Agent) {
+        let load = agent.load();
+        metrics::gauge!("agent_running").set(f64::from(load.running));
+        metrics::gauge!("agent_queued").set(f64::from(load.queued));
+        metrics::gauge!("agent_away").set(f64::from(u8::from(load.away)));
+        metrics::gauge!("agent_leaving").set(f64::from(u8::from(load.leaving)));
+    }
+}
+
+/// Starts a run.
+pub fn start(daemon: &Rc<Daemon>, run: RunId, attempt: AttemptId, priority: u8, work: Work) {
+    let (reads, permits) = async_channel::bounded(1);
+    let running = daemon.clone();
+    let task = daemon.executor.spawn(async move {
+        let last = match exchange(&running, run, attempt, priority, work, permits).await {
+            Ok(()) => TargetEvent::End,
+            Err(error) => TargetEvent::Failed {
+                sent: error.was_sent(),
+                detail: error.to_string(),
+            },
+        };
+        running.tell(Event::Target { run, event: last });
+        // Dropping the handle of the task that runs here is only safe after its last await.
+        let ended = running.runs.open.borrow_mut().remove(&run);
+        if let Some(ended) = ended {
+            ended.task.detach();
+        }
+    });
+    let open = Open { reads, task };
+    daemon.runs.open.borrow_mut().insert(run, open);
+}
+
+/// Drops a run; an engine is told to stop it.
+pub fn abort(daemon: &Rc<Daemon>, run: RunId, attempt: AttemptId) {
+    daemon.runs.open.borrow_mut().remove(&run);
+    if !daemon.is_model {
+        return;
+    }
+    let client = daemon.client.clone();
+    daemon.spawn(async move {
+        let path = format!("/requests/{}", request_name(attempt));
+        if let Ok(request) = client.request(http_types::Method::Delete, &path) {
+            // An engine that cannot be told stops when it sees that the connection is closed.
+            let _ = client.send_whole(request).await;
+        }
+    });
+}
+
+async fn exchange(
+    daemon: &Rc<Daemon>,
+    run: RunId,
+    attempt: AttemptId,
+    priority: u8,
+    work: Work,
+    permits: Receiver<()>,
+) -> Result<(), ClientError> {
+    let request = build(daemon, attempt, priority, work)?;
+    let mut response = daemon.client.send(request).await?;
+    let content_type = response
+        .headers
+        .get("content-type")
+        .map_or_else(String::new, |value| value.as_str().to_owned());
+    daemon.tell(Event::Target {
+        run,
+        event: TargetEvent::Head {
+            status: response.status.into(),
+            content_type,
+        },
+    });
+    loop {
+        if permits.recv().await.is_err() {
+            // The run was given up; nobody listens to it any more.
+            return Ok(());
+        }
+        let Some(bytes) = response.next_chunk().await? else {
+            return Ok(());
+        };
+        daemon.tell(Event::Target {
+            run,
+            event: TargetEvent::Bytes(bytes),
+        });
+    }
+}
+
+fn build(
+    daemon: &Daemon,
+    attempt: AttemptId,
+    priority: u8,
+    work: Work,
+) -> Result<Request, ClientError> {
+    let mut request = daemon.client.request(method(work.method), &work.path)?;
+    if !work.content_type.is_empty() {
+        request.insert_header("content-type", work.content_type.as_str());
+    }
+    request.insert_header("x-request-id", request_name(attempt));
+    request.insert_header("x-priority", priority.to_string());
+    if daemon.is_model && !work.prefixes.is_empty() {
+        let pieces: Vec<String> = work
+            .prefixes
+            .iter()
+            .take(PIECE_LIMIT)
+            .map(|piece| format!("{piece:016x}"))
+            .collect();
+        request.insert_header("x-cache-pieces", pieces.join(","));
+    }
+    if !work.body.is_empty() {
+        request.set_body(work.body);
+    }
+    Ok(request)
+}
+
+fn request_name(attempt: AttemptId) -> String {
+    format!("{:032x}-{}", attempt.request, attempt.number)
+}
+
+fn method(method: Method) -> http_types::Method {
+    match method {
+        Method::Get => http_types::Method::Get,
+        Method::Head => http_types::Method::Head,
+        Method::Put => http_types::Method::Put,
+        Method::Delete => http_types::Method::Delete,
+        Method::Post => http_types::Method::Post,
+        Method::Patch => http_types::Method::Patch,
+    }
+}
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod attempts;
 mod change;
+pub mod daemon;
 mod engine_view;
 mod event;
 mod limits;
@@ -23,6 +24,8 @@
 mod usage;
 
 pub use answer::Answer;
+pub use daemon::Parts;
+pub use daemon::serve;
 pub use event::Action;
 pub use event::ConnectionId;
 pub use event::EngineLoad;
--- a/components/standin/src/engine.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Stand-in of a model engine over HTTP.
--- /dev/null
+++ b/components/standin/src/engine/mod.rs
@@ -0,0 +1,28 @@
+//! Stand-in of a model engine over HTTP.
+//!
+//! Completions with deterministic text, prefix cache, priorities, orders with fencing numbers,
+//! late load reports and cache events. Counts what it did, for checks where the effect is seen.
+
+mod cache;
+mod completions;
+mod counters;
+mod options;
+mod server;
+mod state;
+mod text;
+
+pub use counters::EngineCounters;
+pub use counters::ObeyedOrder;
+pub use counters::RunCount;
+pub use options::EngineFaults;
+pub use options::EngineOptions;
+pub use options::engine_options;
+pub use server::run;
+pub use server::serve;
+pub(crate) use state::take;
+
+pub use state::LoadAnswer;
+pub use state::OrderBody;
+pub use state::StateAnswer;
+pub use text::answer_text;
+pub use text::body_digest;
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for everything outside the system, for tests and the demo. Never shipped.
 
+mod answers;
 pub mod engine;
 pub mod forwarder;
 pub mod plain;
 pub mod platform;
+mod turns;
