--- /dev/null
+++ b/components/request/src/finish.rs
@@ -0,0 +1,252 @@
+//! Ends: failed attempts, deadlines, hang-ups and final answers.
+
+use std::time::Instant;
+
+use types::RefusalReason;
+use types::Reply;
+use types::RequestId;
+use types::RunState;
+use types::Usage;
+
+use crate::action::Action;
+use crate::action::Outcome;
+use crate::action::Summary;
+use crate::claim::ClaimState;
+use crate::claims::LINGER_MS;
+use crate::claims::outcome_unknown;
+use crate::refusal::Ending;
+use crate::refusal::RETRY_MS;
+use crate::requests::Context;
+use crate::requests::Requests;
+use crate::requests::Timer;
+use crate::router::Settlement;
+use crate::run::Phase;
+use crate::run::Waiter;
+
+impl Requests {
+    /// The attempt was not run and will not be.
+    pub(crate) fn attempt_rejected(&mut self, cx: &mut Context, id: RequestId) {
+        self.end_attempt(cx, id, Settlement::Rejected);
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        if run.attempts < run.terms.profile.attempt_limit {
+            self.retry(cx, id);
+            return;
+        }
+        let detail = "no target took the request";
+        let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
+        self.refuse(cx, id, &refusal);
+    }
+
+    /// The attempt failed and may have run.
+    pub(crate) fn attempt_failed(&mut self, cx: &mut Context, id: RequestId, detail: &str) {
+        self.end_attempt(cx, id, Settlement::Failed);
+        self.after_failure(cx, id, detail);
+    }
+
+    pub(crate) fn after_failure(&mut self, cx: &mut Context, id: RequestId, detail: &str) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        if !run.idempotent {
+            self.lose_outcome(cx, id, &outcome_unknown());
+            return;
+        }
+        if run.attempts < run.terms.profile.attempt_limit {
+            self.retry(cx, id);
+            return;
+        }
+        let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
+        self.refuse(cx, id, &refusal);
+    }
+
+    /// The attempt's answer is not the one that callers already have a part of.
+    pub(crate) fn answer_contradicted(&mut self, cx: &mut Context, id: RequestId) {
+        self.cancel_attempt(cx, id, Settlement::Failed);
+        if self.runs.get(&id).is_some_and(|run| !run.idempotent) {
+            self.lose_outcome(cx, id, &outcome_unknown());
+            return;
+        }
+        let detail = "the answer broke off and another attempt gave a different one";
+        let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
+        self.refuse(cx, id, &refusal);
+    }
+
+    /// A caller's time is up.
+    pub(crate) fn deadline_passed(&mut self, cx: &mut Context, request: RequestId) {
+        let Some(&id) = self.waiting.get(&request) else {
+            return;
+        };
+        let detail = "the deadline passed";
+        let refusal = Ending::new(RefusalReason::DeadlineExceeded, Some(RETRY_MS), detail);
+        let state = self.run_state_without(id);
+        self.refuse_one(cx, request, &refusal, state);
+        self.drop_if_unwanted(cx, id);
+    }
+
+    pub(crate) fn caller_gone(&mut self, cx: &mut Context, request: RequestId) {
+        let Some(&id) = self.waiting.get(&request) else {
+            return;
+        };
+        if let Some(waiter) = self.take_waiter(id, request) {
+            self.settle(cx, id, &waiter, Outcome::Abandoned, Usage::default());
+        }
+        self.drop_if_unwanted(cx, id);
+    }
+
+    /// Gives up a run that no caller waits for, unless it must not be repeated and may run:
+    /// then its answer is kept for a resend.
+    fn drop_if_unwanted(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        if !run.waiters.is_empty() {
+            return;
+        }
+        if !run.idempotent && run.attempt.is_some() {
+            let at = cx.now.max(run.deadline()) + LINGER_MS;
+            self.set_timer(at, Timer::Linger(id));
+            self.grant(cx, id);
+            return;
+        }
+        self.cancel_attempt(cx, id, Settlement::Cancelled);
+        let state = self.state_at_end(id);
+        self.forget(cx.now, id, state);
+    }
+
+    /// Gives up a run that nobody has waited for since its deadline.
+    pub(crate) fn linger_over(&mut self, cx: &mut Context, id: RequestId) {
+        if self.runs.get(&id).is_some_and(|run| run.waiters.is_empty()) {
+            self.end_attempt(cx, id, Settlement::Failed);
+            self.forget(cx.now, id, ClaimState::Unknown);
+        }
+    }
+
+    /// The whole answer has been relayed.
+    pub(crate) fn answered(&mut self, cx: &mut Context, id: RequestId, usage: Usage) {
+        self.settle_answered(cx, id, usage);
+        self.forget(cx.now, id, ClaimState::Done);
+    }
+
+    /// Gives every caller of a run the end of its answer.
+    pub(crate) fn settle_answered(&mut self, cx: &mut Context, id: RequestId, usage: Usage) {
+        for request in self.waiters_of(id) {
+            let Some(waiter) = self.take_waiter(id, request) else {
+                continue;
+            };
+            let reply = Reply::End;
+            cx.actions.push(Action::Reply { request, reply });
+            self.settle(cx, id, &waiter, Outcome::Answered, usage);
+        }
+    }
+
+    /// Refuses all callers of a run and forgets it.
+    pub(crate) fn refuse(&mut self, cx: &mut Context, id: RequestId, ending: &Ending) {
+        let state = self.run_state(id);
+        for request in self.waiters_of(id) {
+            self.refuse_one(cx, request, ending, state);
+        }
+        let claim = self.state_at_end(id);
+        self.forget(cx.now, id, claim);
+    }
+
+    fn refuse_one(
+        &mut self,
+        cx: &mut Context,
+        request: RequestId,
+        ending: &Ending,
+        state: RunState,
+    ) {
+        let Some(&id) = self.waiting.get(&request) else {
+            return;
+        };
+        let Some(waiter) = self.take_waiter(id, request) else {
+            return;
+        };
+        let outcome = Outcome::Refused(ending.reason);
+        let refusal = ending.refusal(state);
+        let reply = Reply::Refused(refusal);
+        cx.actions.push(Action::Reply { request, reply });
+        self.settle(cx, id, &waiter, outcome, Usage::default());
+    }
+
+    /// What may be said to one caller that leaves: the run goes on for the others.
+    fn run_state_without(&self, id: RequestId) -> RunState {
+        match self.runs.get(&id) {
+            Some(run) if run.waiters.len() > 1 => RunState::Unknown,
+            _ => self.run_state(id),
+        }
+    }
+
+    /// What may be said of a run now.
+    fn run_state(&self, id: RequestId) -> RunState {
+        self.runs
+            .get(&id)
+            .map_or(RunState::NotRun, crate::run::Run::state)
+    }
+
+    fn waiters_of(&self, id: RequestId) -> Vec<RequestId> {
+        let run = self.runs.get(&id);
+        run.map_or_else(Vec::new, |run| {
+            run.waiters.iter().map(|waiter| waiter.request).collect()
+        })
+    }
+
+    fn take_waiter(&mut self, id: RequestId, request: RequestId) -> Option<Waiter> {
+        self.waiting.remove(&request);
+        let run = self.runs.get_mut(&id)?;
+        let index = run.waiters.iter().position(|w| w.request == request)?;
+        let waiter = run.waiters.remove(index);
+        self.timers
+            .remove(&(waiter.deadline, Timer::Deadline(request)));
+        Some(waiter)
+    }
+
+    fn settle(
+        &self,
+        cx: &mut Context,
+        id: RequestId,
+        waiter: &Waiter,
+        outcome: Outcome,
+        usage: Usage,
+    ) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        let request = waiter.request;
+        let summary = Summary {
+            service: run.need.service.clone(),
+            outcome,
+            targets: run.tried.to_vec(),
+            first_byte_ms: waiter.first_byte_ms,
+            total_ms: cx.now.saturating_duration_since(waiter.accepted),
+            usage,
+        };
+        cx.actions.push(Action::Settled { request, summary });
+    }
+
+    /// Removes a run and everything that is held for it. Its claim gets a new state; `Taken`
+    /// leaves it as it is.
+    pub(crate) fn forget(&mut self, now: Instant, id: RequestId, claim: ClaimState) {
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
+        if let Some(attempt) = &run.attempt {
+            self.attempts.remove(&attempt.id);
+        }
+        let key = (run.need.service.clone(), run.terms.profile.name.clone());
+        if let Some(queue) = self.queues.get_mut(&key) {
+            queue.remove(id);
+        }
+        if let Phase::Enquiring(row) = &run.phase {
+            self.enquiries.remove(&row.attempt_id());
+        }
+        if let Some(claim) = &run.claim {
+            self.claimed.remove(&claim.key);
+        }
+        if claim != ClaimState::Taken {
+            self.close_claim(now, &run, claim);
+        }
+    }
+}
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -3,15 +3,37 @@
 //! A state machine without I/O. The entry feeds it events and carries out its actions.
 
 pub mod action;
+pub mod answer;
+pub mod batch;
+pub mod budget;
+pub mod claim;
+mod claims;
+mod connections;
+mod dispatch;
 pub mod event;
+mod finish;
+mod outcomes;
+pub mod queue;
+mod refusal;
+mod relay;
+pub mod requests;
 pub mod router;
+mod run;
+mod submit;
+pub mod sweep;
+mod takeover;
+mod tokens;
 
 pub use action::Action;
 pub use action::Outcome;
 pub use action::Summary;
 pub use event::Event;
 pub use event::Terms;
+pub use requests::Requests;
 pub use router::Choice;
 pub use router::Need;
 pub use router::Router;
 pub use router::Settlement;
+pub use sweep::Sweep;
+pub use sweep::SweepAction;
+pub use sweep::SweepEvent;
