--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -203,23 +203,4 @@
         let lease = self.duties.services.get(service);
         lease.is_some_and(|lease| lease.held(now).is_some())
     }
-
-    /// Latest decision about a service; `None` unless it was planned here.
-    pub(super) fn plan_of(&self, _service: &str) -> Option<serde_json::Value> {
-        None
-    }
-
-    pub(super) fn order_planned(
-        &mut self,
-        service: &str,
-        error: Option<String>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(detail) = error {
-            actions.push(Action::Note(Note::OrderNotWritten {
-                service: service.to_owned(),
-                detail,
-            }));
-        }
-    }
 }
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -187,7 +187,7 @@
                 self.tell_follower(now, event, &mut actions);
             }
             Event::OrderPlanned { service, error } => {
-                self.order_planned(&service, error, &mut actions);
+                order_planned(service, error, &mut actions);
             }
             Event::Leaving => self.leave(now, &mut actions),
             Event::Tick => {}
@@ -235,3 +235,9 @@
         self.operations.begin(owner, operation)
     }
 }
+
+fn order_planned(service: ServiceName, error: Option<String>, actions: &mut Vec<Action>) {
+    if let Some(detail) = error {
+        actions.push(Action::Note(Note::OrderNotWritten { service, detail }));
+    }
+}
--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -105,7 +105,6 @@
             "seen": view.map(describe),
             "connected": self.links.link(&target.value.name).is_some(),
             "candidates": self.candidates(now, service),
-            "plan": self.plan_of(service),
         }))
     }
 
--- a/components/entry/src/daemon/gateway.rs
+++ b/components/entry/src/daemon/gateway.rs
@@ -1,25 +1,19 @@
 //! The entry as the callers' side sees it.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use async_channel::Receiver;
 use callers::CallerLimits;
 use callers::Gateway;
 use callers::Health;
 use types::Refusal;
-use types::RefusalReason;
 use types::Reply;
 use types::RequestId;
-use types::RunState;
 use types::Submission;
 
 use crate::core::Event;
 use crate::daemon::Daemon;
 
-/// When to come back to an entry with too many requests in flight.
-const OVERLOAD_RETRY_MS: Duration = Duration::from_secs(1);
-
 /// Hands callers' requests to the daemon.
 pub struct EntryGateway {
     daemon: Rc<Daemon>,
@@ -29,11 +23,6 @@
     pub fn new(daemon: Rc<Daemon>) -> Self {
         Self { daemon }
     }
-
-    fn is_full(&self) -> bool {
-        let in_flight = self.daemon.core.borrow().in_flight();
-        in_flight >= self.daemon.settings.limits.requests
-    }
 }
 
 impl Gateway for EntryGateway {
@@ -50,15 +39,6 @@
     fn submit(&self, submission: Submission) -> (RequestId, Receiver<Reply>) {
         let (sender, receiver) = async_channel::unbounded();
         let request = self.daemon.core.borrow_mut().new_request();
-        if self.is_full() {
-            let _ = sender.try_send(Reply::Refused(Refusal {
-                reason: RefusalReason::Overloaded,
-                run: RunState::NotRun,
-                retry_after_ms: Some(OVERLOAD_RETRY_MS),
-                detail: "this entry has too many requests in flight".to_owned(),
-            }));
-            return (request, receiver);
-        }
         self.daemon.replies.borrow_mut().insert(request, sender);
         self.daemon.feed(Event::Submitted {
             request,
--- a/components/entry/src/daemon/listeners.rs
+++ b/components/entry/src/daemon/listeners.rs
@@ -6,8 +6,9 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use callers::CallersPort;
 use eyre::WrapErr;
-use http::ServerLimits;
+use operators::OperatorsPort;
 use settings::EntrySettings;
 use smol::Task;
 use smol::net::TcpListener;
@@ -38,6 +39,8 @@
 pub struct Callers {
     stop: Sender<()>,
     task: Task<()>,
+    /// The operators' port serves until this is dropped.
+    _operators: Sender<()>,
 }
 
 impl Callers {
@@ -81,45 +84,38 @@
     let socket = Rc::new(listeners.datagrams);
     daemon.spawn(receive(daemon.clone(), socket.clone()));
     daemon.spawn(send(socket, outgoing));
-    start_operators(daemon, listeners.operators);
-    start_callers(daemon, listeners.callers)
+    let operators = start_operators(daemon, listeners.operators);
+    let (stop, task) = start_callers(daemon, listeners.callers);
+    Callers {
+        stop,
+        task,
+        _operators: operators,
+    }
 }
 
-fn start_callers(daemon: &Rc<Daemon>, listener: TcpListener) -> Callers {
+fn start_callers(daemon: &Rc<Daemon>, listener: TcpListener) -> (Sender<()>, Task<()>) {
     let (stop, stopped) = async_channel::bounded(1);
-    let identity = daemon.settings.caller_identity.clone();
     let gateway = Rc::new(EntryGateway::new(daemon.clone()));
-    let limits = server_limits(&daemon.settings);
-    let executor = daemon.executor.clone();
-    let serving = callers::serve(listener, limits, identity, gateway, executor, stopped);
+    let port = Rc::new(CallersPort::new(&daemon.settings, gateway));
+    let serving = daemon.clone();
     let task = daemon.executor.spawn(async move {
+        let limits = &serving.settings.limits;
+        let executor = serving.executor.clone();
         // The server waits out accept errors and ends only when told to.
-        let _ = serving.await;
+        let _ = callers::serve(listener, limits, port, executor, stopped).await;
     });
-    Callers { stop, task }
+    (stop, task)
 }
 
-fn start_operators(daemon: &Rc<Daemon>, listener: TcpListener) {
+fn start_operators(daemon: &Rc<Daemon>, listener: TcpListener) -> Sender<()> {
+    let (stop, stopped) = async_channel::bounded(1);
     let control = Rc::new(EntryControl::new(daemon.clone()));
-    let operators = daemon.settings.operators.clone();
+    let port = Rc::new(OperatorsPort::new(&daemon.settings.operators, control));
     let executor = daemon.executor.clone();
-    let serving = operators::serve(listener, operators, control, executor);
     daemon.spawn(async move {
-        let _ = serving.await;
+        let _ = operators::serve(listener, port, executor, stopped).await;
     });
-}
-
-fn server_limits(settings: &EntrySettings) -> ServerLimits {
-    let limits = settings.limits;
-    ServerLimits {
-        connections: limits.connections,
-        head_limit_bytes: limits.head_bytes,
-        field_limit: limits.head_fields,
-        head_ms: limits.head_ms,
-        body_ms: limits.body_ms,
-        idle_ms: limits.idle_ms,
-        write_stall_ms: limits.write_stall_ms,
-    }
+    stop
 }
 
 async fn receive(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
--- a/components/entry/src/daemon/meters.rs
+++ b/components/entry/src/daemon/meters.rs
@@ -33,7 +33,7 @@
     }
 
     /// Records what a log event tells.
-    pub fn note(&self, note: &Note) {
+    pub fn note(note: &Note) {
         match note {
             Note::RequestSettled { summary, .. } => record(summary),
             Note::OrderPlanned { service, .. } => {
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -136,7 +136,7 @@
         let context = GuardContext {
             clock: clock.clone(),
             timer: Rc::new(SystemTimer),
-            budget: Rc::new(RateBudget::new(BudgetOptions::default(), now)),
+            budget: Rc::new(RateBudget::new(&BudgetOptions::default(), now)),
         };
         let http_table = HttpTable::new(settings.platform.table, HttpOptions::default());
         let retries = RetryOptions {
@@ -263,7 +263,7 @@
     }
 
     fn note(&self, note: &Note) {
-        self.meters.note(note);
+        Meters::note(note);
         log::write(&self.logger, note);
     }
 
