--- a/components/agent/src/change.rs
+++ b/components/agent/src/change.rs
@@ -4,7 +4,6 @@
 
 use types::Order;
 use types::OrderKind;
-use types::TargetState;
 
 use crate::engine_view::Wanted;
 
@@ -111,18 +110,6 @@
             ..self.order.clone()
         }
     }
-
-    /// State of the target once the order is recorded, if the order sets it.
-    #[must_use]
-    pub fn target_state(&self) -> Option<TargetState> {
-        match self.order.kind {
-            OrderKind::Drain => Some(TargetState::Draining),
-            OrderKind::Replace => Some(TargetState::Replacing),
-            OrderKind::Withdraw => Some(TargetState::Withdrawn),
-            OrderKind::Resume => Some(TargetState::Active),
-            _ => None,
-        }
-    }
 }
 
 /// The slot is asked for while work goes on, so that a busy weight store costs no service.
--- a/components/agent/src/daemon/log.rs
+++ b/components/agent/src/daemon/log.rs
@@ -26,6 +26,9 @@
         Note::Leaving { in_service } => {
             info!(logger, "stopping"; "code" => code, "in_service" => in_service);
         }
+        Note::RegistrationRefused { detail } => {
+            error!(logger, "target cannot be held"; "code" => code, "detail" => detail);
+        }
         Note::Released => info!(logger, "target row released"; "code" => code),
         Note::OrderStarted { number, kind } => {
             info!(logger, "order started"; "code" => code, "number" => number, "kind" => kind);
--- a/components/agent/src/daemon/mod.rs
+++ b/components/agent/src/daemon/mod.rs
@@ -6,6 +6,9 @@
 mod runs;
 mod server;
 mod signals;
+mod start;
+
+pub use start::run;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -103,6 +106,9 @@
         ExitReason::Superseded => Err(eyre::eyre!(
             "another run of the agent holds the target; stop one of the two"
         )),
+        ExitReason::Withdrawn => Err(eyre::eyre!(
+            "the target was withdrawn; start the agent under another target name"
+        )),
     }
 }
 
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -227,4 +227,6 @@
     Stopped,
     /// Another run of the agent holds the target; all work is finished.
     Superseded,
+    /// The target was withdrawn; its name cannot be used again.
+    Withdrawn,
 }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -17,7 +17,6 @@
 mod machine;
 mod memory;
 mod orders;
-mod registry;
 mod report;
 mod row;
 mod runs;
@@ -25,6 +24,7 @@
 
 pub use answer::Answer;
 pub use daemon::Parts;
+pub use daemon::run;
 pub use daemon::serve;
 pub use event::Action;
 pub use event::ConnectionId;
--- a/components/agent/src/limits.rs
+++ b/components/agent/src/limits.rs
@@ -80,6 +80,9 @@
     pub order_poll_ms: Duration,
     /// Time after which an order of an earlier run can no longer reach the engine.
     pub order_settle_ms: Duration,
+    /// Time between the report that the target is leaving and the end of the process, so that
+    /// entries stop sending before connections are refused.
+    pub notice_ms: Duration,
 }
 
 impl Limits {
@@ -112,7 +115,8 @@
             kept_ms: Duration::from_mins(10),
             memory_limit: 65_536,
             order_poll_ms: Duration::from_secs(2),
-            order_settle_ms: Duration::from_secs(8),
+            order_settle_ms: Duration::from_secs(10),
+            notice_ms: Duration::from_secs(2),
         }
     }
 }
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -292,11 +292,14 @@
     }
 
     fn stop_when_done(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let is_ending = self.leaving_since.is_some() || self.orders.hold() == Hold::Superseded;
-        if !is_ending {
+        if self.orders.hold() == Hold::Kept {
             return;
         }
-        if self.attempts.in_service() > 0
+        let is_announced = self
+            .leaving_since
+            .is_none_or(|since| now >= since + self.limits.notice_ms);
+        if !is_announced
+            || self.attempts.in_service() > 0
             || self.attempts.is_delivering()
             || !self.orders.is_quiet(now)
         {
@@ -307,9 +310,10 @@
         if !self.attempts.is_acknowledged() && now < idle_since + LINGER_MS {
             return;
         }
-        if self.orders.hold() == Hold::Superseded {
-            self.exit(ExitReason::Superseded, out);
-            return;
+        match self.orders.hold() {
+            Hold::Superseded => return self.exit(ExitReason::Superseded, out),
+            Hold::Refused => return self.exit(ExitReason::Withdrawn, out),
+            _ => {}
         }
         self.orders.release();
         self.advance(now, out);
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use control::TargetUpdate;
 use platform::PlatformError;
 use types::Order;
 use types::OrderKind;
@@ -58,6 +59,8 @@
     Released,
     /// Another run holds the target.
     Superseded,
+    /// The target was withdrawn and cannot be held.
+    Refused,
 }
 
 impl Orders {
@@ -184,8 +187,12 @@
         match event {
             RowEvent::None => {}
             RowEvent::Polled(began, order) => self.polled(now, began, order, out),
-            RowEvent::Plan(current) => self.plan(now, current, out),
-            RowEvent::Written(target) => self.written(now, &target, out),
+            RowEvent::Plan(current) => self.plan(now, current.as_deref(), out),
+            RowEvent::Written(target) => self.written(now, target.as_deref(), out),
+            RowEvent::Refused(detail) => {
+                self.end(Hold::Refused);
+                out.push(Action::Log(Note::RegistrationRefused { detail }));
+            }
             RowEvent::Superseded(by) => {
                 self.end(Hold::Superseded);
                 out.push(Action::Log(Note::Superseded { by }));
@@ -252,57 +259,65 @@
         }
     }
 
-    /// Row to write, given the row that stands in the table.
-    fn plan(&mut self, now: Instant, current: Option<Target>, out: &mut Vec<Action>) {
+    /// Writes the update that is due, given the row that stands in the table.
+    fn plan(&mut self, now: Instant, current: Option<&Target>, out: &mut Vec<Action>) {
         if self.row.held.is_none() {
             // A released row was given back after the last order of that run had ended.
-            self.follows_a_run = current.as_ref().is_some_and(|row| row.incarnation != 0);
+            self.follows_a_run = current.is_some_and(|row| row.incarnation != 0);
         }
-        let Some((after, reason)) = self.next_row(current) else {
-            return;
-        };
-        if self.row.commit(now, &after, &reason, out) {
-            self.written(now, &after, out);
+        if let Some((update, reason)) = self.next_update(current) {
+            let event = self.row.commit(now, &update, &reason, out);
+            self.row_event(now, event, out);
         }
     }
 
-    fn next_row(&self, current: Option<Target>) -> Option<(Target, String)> {
-        if self.row.held.is_none() {
-            return Some((self.registration(current), "agent started".to_owned()));
-        }
-        let mut after = current?;
+    fn next_update(&self, current: Option<&Target>) -> Option<(TargetUpdate, String)> {
+        let limits = &self.limits;
         if self.hold == Hold::Releasing {
-            after.incarnation = 0;
-            return Some((after, "agent stopped".to_owned()));
-        }
-        match &self.change {
-            Some(change) if change.stage == Stage::Record => {
-                after.applied = change.order.number;
-                if let Some(state) = change.target_state() {
-                    after.state = state;
-                }
-                if let Some(wanted) = &change.wanted {
-                    after.loaded = wanted.loaded.clone();
-                    after.role = wanted.role;
-                }
-                Some((after, format!("order {} executed", change.order.number)))
-            }
-            _ => {
-                let state = self.engine.state().filter(|state| !state.away)?;
-                if after.applied > 0 || self.change.is_some() {
-                    return None;
-                }
-                after.loaded = state.loaded.clone();
-                after.role = state.role;
-                Some((after, "engine state read".to_owned()))
+            let update = TargetUpdate::Release {
+                target: limits.target.clone(),
+                incarnation: limits.incarnation,
+            };
+            return Some((update, "agent stopped".to_owned()));
+        }
+        let Some(held) = &self.row.held else {
+            let target = self.registration(current);
+            let update = TargetUpdate::Register(Box::new(target));
+            return Some((update, "agent started".to_owned()));
+        };
+        if let Some(change) = &self.change {
+            if change.stage != Stage::Record {
+                return None;
             }
+            let wanted = change.wanted.clone().unwrap_or_else(|| recorded(held));
+            let update = TargetUpdate::Executed {
+                target: limits.target.clone(),
+                incarnation: limits.incarnation,
+                number: change.order.number,
+                role: wanted.role,
+                loaded: wanted.loaded,
+            };
+            return Some((update, format!("order {} executed", change.order.number)));
+        }
+        if held.applied > 0 {
+            return None;
         }
+        let state = self.engine.state().filter(|state| !state.away)?;
+        let target = Target {
+            loaded: state.loaded.clone(),
+            role: state.role,
+            ..held.clone()
+        };
+        let update = TargetUpdate::Register(Box::new(target));
+        Some((update, "engine state read".to_owned()))
     }
 
-    fn registration(&self, current: Option<Target>) -> Target {
+    /// Row of this run. What orders have reached is taken over from the row of the last one.
+    fn registration(&self, current: Option<&Target>) -> Target {
         let limits = &self.limits;
         let engine = self.engine.state().cloned().unwrap_or_default();
-        let mut target = Target {
+        let ordered = current.filter(|current| current.applied > 0);
+        Target {
             name: limits.target.clone(),
             service: limits.service.clone(),
             kind: limits.kind,
@@ -312,32 +327,21 @@
             incarnation: limits.incarnation,
             honours_fencing: limits.honours_fencing,
             state: TargetState::Active,
-            role: engine.role,
-            loaded: engine.loaded,
+            role: ordered.map_or(engine.role, |row| row.role),
+            loaded: ordered.map_or(engine.loaded, |row| row.loaded.clone()),
             applied: 0,
-        };
-        if let Some(current) = current {
-            // A replaced target serves again once it stands on another host.
-            let is_replaced =
-                current.state == TargetState::Replacing && current.host != target.host;
-            if !is_replaced {
-                target.state = current.state;
-            }
-            target.applied = current.applied;
-            if current.applied > 0 {
-                target.loaded = current.loaded;
-                target.role = current.role;
-            }
         }
-        target
     }
 
-    fn written(&mut self, now: Instant, target: &Target, out: &mut Vec<Action>) {
-        if target.incarnation == 0 {
+    fn written(&mut self, now: Instant, target: Option<&Target>, out: &mut Vec<Action>) {
+        if self.hold == Hold::Releasing {
             self.hold = Hold::Released;
             out.push(Action::Log(Note::Released));
             return;
         }
+        let Some(target) = target else {
+            return;
+        };
         if self.quiet_until.is_none() {
             let settle_ms = if self.follows_a_run {
                 self.limits.order_settle_ms
@@ -351,7 +355,7 @@
         }
         self.started = self.started.max(target.applied);
         let is_recorded = self.change.as_ref().is_some_and(|change| {
-            change.stage == Stage::Record && change.order.number == target.applied
+            change.stage == Stage::Record && change.order.number <= target.applied
         });
         if is_recorded {
             self.change = None;
@@ -375,7 +379,9 @@
     }
 
     fn advance_row(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if matches!(self.hold, Hold::Superseded | Hold::Released) || !self.row.is_free(now) {
+        if matches!(self.hold, Hold::Superseded | Hold::Released | Hold::Refused)
+            || !self.row.is_free(now)
+        {
             return;
         }
         let Some(held) = &self.row.held else {
@@ -418,10 +424,7 @@
         if self.change.is_some() {
             return;
         }
-        let recorded = Wanted {
-            loaded: held.loaded.clone(),
-            role: held.role,
-        };
+        let recorded = recorded(held);
         let Some(latest) = &self.latest else {
             return;
         };
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -31,6 +31,11 @@
     },
     /// CS2005: the row is released.
     Released,
+    /// CS2007: the target cannot be held.
+    RegistrationRefused {
+        /// Why.
+        detail: String,
+    },
     /// CS2101: an order was started.
     OrderStarted {
         /// Its number.
@@ -107,6 +112,7 @@
             Self::Superseded { .. } => "CS2003",
             Self::Leaving { .. } => "CS2004",
             Self::Released => "CS2005",
+            Self::RegistrationRefused { .. } => "CS2007",
             Self::OrderStarted { .. } => "CS2101",
             Self::OrderPassed { .. } => "CS2102",
             Self::OrderFailed { .. } => "CS2103",
--- a/components/agent/src/row.rs
+++ b/components/agent/src/row.rs
@@ -6,11 +6,19 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use control::Meta;
+use control::RowSet;
+use control::TargetError;
+use control::TargetUpdate;
+use control::Versioned;
+use control::keys;
+use control::plan_intent;
 use platform::CommitOutcome;
 use platform::PlatformError;
 use platform::Row;
 use platform::TableReply;
 use platform::TableRequest;
+use types::ChangeBody;
 use types::Incarnation;
 use types::Order;
 use types::Target;
@@ -19,12 +27,6 @@
 use crate::event::OperationId;
 use crate::limits::Limits;
 use crate::limits::RETRY_MS;
-use crate::registry::Entry;
-use crate::registry::HEAD_KEY;
-use crate::registry::order_key;
-use crate::registry::parse;
-use crate::registry::plan_target;
-use crate::registry::target_key;
 use crate::report::Note;
 
 /// What a finished table call means.
@@ -34,10 +36,12 @@
     None,
     /// The order row was read; the read began at this time.
     Polled(Instant, Option<Order>),
-    /// The rows were read for a write; the caller supplies the new target row.
-    Plan(Option<Target>),
-    /// The target row was written.
-    Written(Box<Target>),
+    /// The rows were read for a write; the caller supplies the update.
+    Plan(Option<Box<Target>>),
+    /// The update stands in the table. `None` after a release.
+    Written(Option<Box<Target>>),
+    /// The target cannot be held.
+    Refused(String),
     /// Another run holds the target.
     Superseded(Incarnation),
 }
@@ -53,7 +57,7 @@
 pub struct TargetRow {
     limits: Rc<Limits>,
     pending: Option<(OperationId, Step)>,
-    rows: Vec<Row>,
+    rows: RowSet,
     next_operation: OperationId,
     retry_at: Option<Instant>,
     poll_at: Option<Instant>,
@@ -69,7 +73,7 @@
         Self {
             limits,
             pending: None,
-            rows: Vec::new(),
+            rows: RowSet::default(),
             next_operation: 1,
             retry_at: None,
             poll_at: None,
@@ -99,48 +103,60 @@
     pub fn poll(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.poll_at = Some(now + self.limits.order_poll_ms);
         let keys = vec![
-            target_key(&self.limits.target),
-            order_key(&self.limits.target),
+            keys::target(&self.limits.target),
+            keys::order(&self.limits.target),
         ];
         self.call(now, Step::Poll(now), TableRequest::Read(keys), out);
     }
 
     /// Begins a write; `RowEvent::Plan` follows.
     pub fn begin_write(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let keys = vec![HEAD_KEY.to_owned(), target_key(&self.limits.target)];
+        let keys = self.write_keys();
         self.call(now, Step::ReadForWrite, TableRequest::Read(keys), out);
     }
 
-    /// Commits the new row after `RowEvent::Plan`; `RowEvent::Written` follows. Returns at once
-    /// with `true` if the table already holds it.
+    fn write_keys(&self) -> Vec<String> {
+        vec![
+            keys::HEAD.to_owned(),
+            keys::target(&self.limits.target),
+            keys::order(&self.limits.target),
+        ]
+    }
+
+    /// Commits an update after `RowEvent::Plan`. The event that it returns is `None` while the
+    /// commit is under way.
     pub fn commit(
         &mut self,
         now: Instant,
-        after: &Target,
+        update: &TargetUpdate,
         reason: &str,
         out: &mut Vec<Action>,
-    ) -> bool {
-        let current: Option<Target> =
-            parse(&self.rows, &target_key(&after.name)).unwrap_or_default();
-        if current.as_ref() == Some(after) {
-            self.held = current;
-            return true;
-        }
+    ) -> RowEvent {
         let first = *self.first_event.get_or_insert(now);
-        let entry = Entry {
-            by: &format!("agent/{}", self.limits.target),
+        let meta = Meta {
+            by: format!("agent/{}", self.limits.target),
             at_ms: self.limits.started_wall_ms + now.saturating_duration_since(first),
-            reason,
+            reason: reason.to_owned(),
             token: (u128::from(self.limits.incarnation) << 64) | u128::from(self.next_operation),
         };
-        match plan_target(&self.rows, after, &entry) {
-            Ok(transaction) => {
-                let step = Step::Commit(Box::new(after.clone()));
-                self.call(now, step, TableRequest::Commit(transaction), out);
+        match plan_intent(update, &self.rows, &meta) {
+            Ok(Some(planned)) => {
+                let ChangeBody::Target { after, .. } = planned.change.body else {
+                    return RowEvent::None;
+                };
+                let step = Step::Commit(Box::new(after));
+                self.call(now, step, TableRequest::Commit(planned.transaction), out);
+                RowEvent::None
+            }
+            // An earlier try took effect although its reply was lost.
+            Ok(None) => RowEvent::Written(self.held.clone().map(Box::new)),
+            Err(TargetError::Superseded { incarnation, .. }) => RowEvent::Superseded(incarnation),
+            Err(error @ TargetError::Withdrawn { .. }) => RowEvent::Refused(error.to_string()),
+            Err(error) => {
+                self.failed(now, "plan", error.to_string(), out);
+                RowEvent::None
             }
-            Err(error) => self.failed(now, "plan", error.to_string(), out),
         }
-        false
     }
 
     /// Takes the result of a table call.
@@ -159,7 +175,7 @@
             (Step::ReadForWrite, Ok(TableReply::Rows(rows))) => self.read(now, rows, out),
             (Step::Commit(after), Ok(TableReply::Commit(CommitOutcome::Committed(_)))) => {
                 self.held = Some((*after).clone());
-                RowEvent::Written(after)
+                RowEvent::Written(Some(after))
             }
             // The head moves with every change of anyone, so a lost race is tried again at once.
             (Step::Commit(_), Ok(TableReply::Commit(CommitOutcome::Conflict(_)))) => RowEvent::None,
@@ -181,9 +197,10 @@
         rows: &[Row],
         out: &mut Vec<Action>,
     ) -> RowEvent {
-        let target = parse::<Target>(rows, &target_key(&self.limits.target));
-        let order = parse::<Order>(rows, &order_key(&self.limits.target));
-        match (target, order) {
+        let mut read = RowSet::default();
+        read.add_read(&self.write_keys()[1..], rows.to_vec());
+        let order = read.get::<Order>(&keys::order(&self.limits.target));
+        match (self.target_of(&read), order) {
             (Ok(target), Ok(order)) => match self.check_holder(target) {
                 Some(other) => RowEvent::Superseded(other),
                 None => RowEvent::Polled(began, order),
@@ -195,26 +212,36 @@
         }
     }
 
+    fn target_of(&self, rows: &RowSet) -> Result<Option<Target>, control::RowError> {
+        let stored: Option<Versioned<Target>> = rows.get(&keys::target(&self.limits.target))?;
+        Ok(stored.map(|stored| stored.value))
+    }
+
     fn read(&mut self, now: Instant, rows: Vec<Row>, out: &mut Vec<Action>) -> RowEvent {
-        let target = match parse::<Target>(&rows, &target_key(&self.limits.target)) {
+        let mut read = RowSet::default();
+        read.add_read(&self.write_keys(), rows);
+        let target = match self.target_of(&read) {
             Ok(target) => target,
             Err(error) => {
                 self.failed(now, "read", error.to_string(), out);
                 return RowEvent::None;
             }
         };
-        self.rows = rows;
-        if self.held.is_some()
+        self.rows = read;
+        // A registration whose reply was lost is seen here.
+        let is_ours = target
+            .as_ref()
+            .is_some_and(|target| target.incarnation == self.limits.incarnation);
+        if (self.held.is_some() || is_ours)
             && let Some(other) = self.check_holder(target.clone())
         {
             return RowEvent::Superseded(other);
         }
-        RowEvent::Plan(target)
+        RowEvent::Plan(target.map(Box::new))
     }
 
     /// Other run that holds the row, if this run held it before.
     fn check_holder(&mut self, target: Option<Target>) -> Option<Incarnation> {
-        self.held.as_ref()?;
         match target {
             Some(target) if target.incarnation == self.limits.incarnation => {
                 // Operators change the state in the row.
--- /dev/null
+++ b/components/agent/tests/daemon.rs
@@ -0,0 +1,267 @@
+//! The daemon on loopback, between an entry's connection and the stand-in engine.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agent::Limits;
+use agent::Parts;
+use http::Client;
+use http::ClientLimits;
+use platform::MemoryTable;
+use platform::MemoryWeightStore;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol::net::UdpSocket;
+use standin::engine::EngineOptions;
+use standin::engine::answer_text;
+use types::AttemptId;
+use types::Loaded;
+use types::Method;
+use types::SystemClock;
+use types::Work;
+use wire::AnswerDigest;
+use wire::Datagram;
+use wire::Dispatch;
+use wire::Hello;
+use wire::Key;
+use wire::Keyring;
+use wire::Rejection;
+use wire::ToAgent;
+use wire::ToEntry;
+use wire::session;
+use wire::session::SessionReader;
+use wire::session::SessionWriter;
+
+const INCARNATION: u64 = 7;
+
+fn keys() -> Keyring {
+    Keyring::new(vec![Key {
+        id: 1,
+        secret: [5; 32],
+    }])
+    .expect("one key")
+}
+
+/// Free loopback address.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    listener.local_addr().expect("bound")
+}
+
+/// Starts an engine and an agent on threads of their own; they end with the test process.
+fn start() -> (SocketAddr, SocketAddr) {
+    let (engine, agent) = (free_address(), free_address());
+    std::thread::spawn(move || {
+        let options = EngineOptions {
+            instant: true,
+            away_ms: 100,
+            ..EngineOptions::new(engine)
+        };
+        let executor = Rc::new(LocalExecutor::new());
+        smol::block_on(executor.clone().run(async move {
+            let listener = TcpListener::bind(engine).await?;
+            standin::engine::serve(options, listener, executor).await
+        }))
+    });
+    std::thread::spawn(move || {
+        agent::serve(Parts {
+            limits: Limits::new("engine-1", INCARNATION, agent),
+            target: engine,
+            keys: keys(),
+            table: Rc::new(MemoryTable::default()),
+            weights: Rc::new(MemoryWeightStore::new(Rc::new(SystemClock), Duration::ZERO)),
+            logger: slog::Logger::root(slog::Discard, slog::o!()),
+        })
+    });
+    (engine, agent)
+}
+
+struct Entry {
+    reader: SessionReader<TcpStream>,
+    writer: SessionWriter<TcpStream>,
+}
+
+impl Entry {
+    async fn connect(agent: SocketAddr) -> Self {
+        let stream = loop {
+            match TcpStream::connect(agent).await {
+                Ok(stream) => break stream,
+                Err(_) => smol::Timer::after(Duration::from_millis(20)).await,
+            };
+        };
+        let (reader, writer) =
+            session::establish(stream, session::End::Opener, &keys(), rand::random())
+                .await
+                .expect("session");
+        let mut entry = Self { reader, writer };
+        entry
+            .send(ToAgent::Hello(Hello {
+                process: 3,
+                to: "engine-1".to_owned(),
+            }))
+            .await;
+        entry
+    }
+
+    async fn send(&mut self, message: ToAgent) {
+        self.writer.send(&message).await.expect("sent");
+    }
+
+    async fn next(&mut self) -> ToEntry {
+        let message = self.reader.next_message().await.expect("frame");
+        message.expect("open connection")
+    }
+
+    /// Dispatches until the agent is ready, and returns the answer, granting little credit.
+    async fn ask(&mut self, request: u128, body: &str, stream: bool) -> (u16, Vec<u8>) {
+        for number in 1.. {
+            let attempt = AttemptId { request, number };
+            self.send(ToAgent::Dispatch(Box::new(dispatch(attempt, body, stream))))
+                .await;
+            match self.answer(attempt).await {
+                Ok(answer) => return answer,
+                Err(Rejection::Away) => smol::Timer::after(Duration::from_millis(20)).await,
+                Err(other) => panic!("rejected as {other:?}"),
+            };
+        }
+        unreachable!("the loop ends with an answer")
+    }
+
+    async fn answer(&mut self, attempt: AttemptId) -> Result<(u16, Vec<u8>), Rejection> {
+        let (mut status, mut bytes) = (0, Vec::new());
+        let mut digest = AnswerDigest::default();
+        loop {
+            match self.next().await {
+                ToEntry::Rejected { reason, .. } => return Err(reason),
+                ToEntry::Head { status: at, .. } => status = at,
+                ToEntry::Chunk {
+                    offset,
+                    bytes: chunk,
+                    ..
+                } => {
+                    assert_eq!(offset, bytes.len() as u64);
+                    bytes.extend_from_slice(&chunk);
+                    digest.push(&chunk);
+                    self.send(ToAgent::Credit {
+                        attempt,
+                        received: bytes.len() as u64,
+                        bytes: u32::try_from(chunk.len()).expect("small chunk"),
+                    })
+                    .await;
+                }
+                ToEntry::End {
+                    length,
+                    digest: whole,
+                    usage,
+                    ..
+                } => {
+                    assert_eq!(length, bytes.len() as u64);
+                    assert_eq!(whole, digest.digest());
+                    assert!(usage.output_tokens > 0);
+                    return Ok((status, bytes));
+                }
+                ToEntry::Failed { detail, .. } => panic!("{detail}"),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn dispatch(attempt: AttemptId, body: &str, stream: bool) -> Dispatch {
+    Dispatch {
+        attempt,
+        incarnation: INCARNATION,
+        revision: 1,
+        needs: Loaded {
+            model: "demo".to_owned(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+        },
+        deadline_ms: Duration::from_secs(30),
+        priority: 1,
+        idempotent: true,
+        credit_bytes: 64,
+        work: Work {
+            service: "mesa-refugios".to_owned(),
+            method: Method::Post,
+            path: "/v1/completions".to_owned(),
+            content_type: "application/json".to_owned(),
+            body: body.as_bytes().to_vec(),
+            stream,
+            model: String::new(),
+            prompt_tokens: 4,
+            max_output_tokens: 40,
+            prefixes: vec![1, 2],
+        },
+        body_bytes: body.len() as u64,
+    }
+}
+
+/// Guards against answers that are cut, mixed up or not the target's own on the whole path.
+#[test]
+fn relays_whole_and_own_answers_of_the_engine() {
+    let (engine, agent) = start();
+    smol::block_on(async {
+        let mut entry = Entry::connect(agent).await;
+        assert!(matches!(entry.next().await, ToEntry::Welcome { .. }));
+        for request in 1..20 {
+            let prompt = format!("hut {request}");
+            let body = format!(r#"{{"prompt": "{prompt}", "max_tokens": 40}}"#);
+            let (status, bytes) = entry.ask(request, &body, false).await;
+            assert_eq!(status, 200);
+            let answer: serde_json::Value = serde_json::from_slice(&bytes).expect("JSON");
+            assert_eq!(answer["choices"][0]["text"], answer_text(&prompt, 40));
+
+            let body = format!(r#"{{"prompt": "{prompt}", "max_tokens": 40, "stream": true}}"#);
+            let (_, bytes) = entry.ask(1000 + request, &body, true).await;
+            let text = String::from_utf8(bytes).expect("UTF-8");
+            let relayed: String = text
+                .split("\n\n")
+                .filter_map(|event| event.strip_prefix("data: "))
+                .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+                .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+                .collect();
+            assert_eq!(relayed, answer_text(&prompt, 40));
+            assert!(text.ends_with("data: [DONE]\n\n"));
+        }
+        let client = Client::new(engine, ClientLimits::default());
+        let request = client.request(http_types::Method::Get, "/counters");
+        let counters = client.send_whole(request.expect("path")).await;
+        let counters: standin::engine::EngineCounters =
+            serde_json::from_slice(&counters.expect("answer").body).expect("JSON");
+        assert_eq!(counters.runs.len(), 38);
+        assert!(counters.runs.iter().all(|run| run.finished == run.started));
+    });
+}
+
+/// Guards against probes that are left unanswered, which would end new work for the target.
+#[test]
+fn answers_probes_with_its_load() {
+    let (_, agent) = start();
+    smol::block_on(async {
+        Entry::connect(agent).await;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("loopback");
+        let probe = Datagram::Probe {
+            entry: 3,
+            sequence: 9,
+            head: 0,
+        };
+        let bytes = probe.encode(&keys()).expect("short");
+        socket.send_to(&bytes, agent).await.expect("sent");
+        let mut buffer = [0; 2048];
+        let (count, _) = socket.recv_from(&mut buffer).await.expect("answer");
+        match Datagram::decode(&buffer[..count], &keys()) {
+            Ok(Datagram::Alive {
+                target,
+                sequence,
+                load,
+            }) => {
+                assert_eq!((target.as_str(), sequence), ("engine-1", 9));
+                assert_eq!(load.incarnation, INCARNATION);
+            }
+            other => panic!("{other:?}"),
+        }
+    });
+}
--- a/components/standin/src/main.rs
+++ b/components/standin/src/main.rs
@@ -1,8 +1,13 @@
 //! Starts one stand-in.
 
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::Bpaf;
+use platform::HostEntry;
+use platform::HostState;
 use standin::engine::EngineOptions;
 use standin::engine::engine_options;
 use standin::forwarder::ForwarderOptions;
@@ -14,6 +19,9 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Table, object store, weight store and host list over HTTP
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform_options))] PlatformOptions),
     /// Model engine over HTTP
     #[bpaf(command)]
     Engine(#[bpaf(external(engine_options))] EngineOptions),
@@ -25,8 +33,28 @@
     Forwarder(#[bpaf(external(forwarder_options))] ForwarderOptions),
 }
 
+#[derive(Debug, Clone, Bpaf)]
+struct PlatformOptions {
+    /// Address to serve on
+    #[bpaf(argument("ADDRESS"))]
+    listen: SocketAddr,
+    /// Shortest time between two loads that the weight store grants, in ms
+    #[bpaf(argument("MS"), fallback(200))]
+    weight_interval_ms: u64,
+    /// Age of the host list, in ms
+    #[bpaf(argument("MS"), fallback(3000))]
+    host_lag_ms: u64,
+    /// Live host; may be repeated
+    #[bpaf(argument("HOST"), many)]
+    host: Vec<String>,
+    /// Seed of random faults
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     let result = match command().run() {
+        Command::Platform(options) => run_platform(options),
         Command::Engine(options) => standin::engine::run(options),
         Command::Plain(options) => standin::plain::run(&options),
         Command::Forwarder(options) => standin::forwarder::run(&options),
@@ -39,3 +67,17 @@
         }
     }
 }
+
+fn run_platform(options: PlatformOptions) -> io::Result<()> {
+    let hosts = options.host.into_iter().map(|host| HostEntry {
+        host,
+        state: HostState::Live,
+    });
+    smol::block_on(standin::platform::run(standin::platform::PlatformOptions {
+        listen: options.listen,
+        weight_interval_ms: Duration::from_millis(options.weight_interval_ms),
+        host_lag_ms: Duration::from_millis(options.host_lag_ms),
+        hosts: hosts.collect(),
+        seed: options.seed,
+    }))
+}
