--- /dev/null
+++ b/components/planner/src/plan.rs
@@ -0,0 +1,371 @@
+//! The planner of one service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use routing::TargetView;
+use types::AttemptId;
+use types::Role;
+use types::TargetName;
+use types::Usage;
+
+use crate::decision::Decision;
+use crate::decision::Figures;
+use crate::decision::Reason;
+use crate::decision::Verdict;
+use crate::fluid::ROLES;
+use crate::fluid::Roles;
+use crate::mix::Mix;
+use crate::settings::Settings;
+use crate::targets::Availability;
+use crate::targets::is_last_of_class;
+use crate::targets::is_open;
+
+/// Share of the drain that counts as lost, since an engine still works while it drains.
+const DRAIN_LOSS: f64 = 0.5;
+
+/// What an attempt in flight was counted as.
+#[derive(Debug, Clone, Copy)]
+struct Counted {
+    prefill_class: bool,
+    prefill: f64,
+    decode: f64,
+}
+
+/// A change that was ordered.
+#[derive(Debug, Clone)]
+struct Ordered {
+    target: TargetName,
+    from: Role,
+    to: Role,
+    at: Instant,
+}
+
+/// The best single change.
+#[derive(Debug, Clone, Copy)]
+struct Best {
+    from: Role,
+    to: Role,
+    gain: f64,
+    capacity: f64,
+}
+
+/// Planner of one service.
+#[derive(Debug)]
+pub struct Planner {
+    settings: Settings,
+    mix: Mix,
+    counted: HashMap<AttemptId, Counted>,
+    availability: Availability,
+    pending: Option<Ordered>,
+    last: Option<Ordered>,
+    shift: Option<(bool, Instant)>,
+    reason: Option<Reason>,
+}
+
+impl Planner {
+    /// A planner that has measured nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            mix: Mix::new(settings.rates[1], settings.fast_ms, settings.slow_ms),
+            settings,
+            counted: HashMap::new(),
+            availability: Availability::default(),
+            pending: None,
+            last: None,
+            shift: None,
+            reason: None,
+        }
+    }
+
+    /// An attempt was dispatched; `prefill` excludes what is expected in the prefix cache.
+    pub fn dispatched(&mut self, now: Instant, attempt: AttemptId, prefill: f64, decode: f64) {
+        let counted = Counted {
+            prefill_class: self.mix.is_prefill(prefill, decode),
+            prefill,
+            decode,
+        };
+        self.mix.add(now, counted.prefill_class, prefill, decode);
+        self.counted.insert(attempt, counted);
+    }
+
+    /// An attempt ended; its usage replaces what was expected of it.
+    pub fn settled(&mut self, now: Instant, attempt: AttemptId, usage: Option<Usage>) {
+        let Some(counted) = self.counted.remove(&attempt) else {
+            return;
+        };
+        let (prefill, decode) = usage.map_or((0.0, 0.0), |usage| {
+            let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+            (f64::from(prefill), f64::from(usage.output_tokens))
+        });
+        let class = counted.prefill_class;
+        self.mix.add(
+            now,
+            class,
+            prefill - counted.prefill,
+            decode - counted.decode,
+        );
+    }
+
+    /// The order of the last change could not be written.
+    pub fn order_failed(&mut self) {
+        self.pending = None;
+    }
+
+    /// Sets the share of the service's requests that this process sees.
+    pub fn set_traffic_share(&mut self, share: f64) {
+        self.settings.traffic_share = share.clamp(0.001, 1.0);
+    }
+
+    /// Decides on the targets of the service. After a change, the caller writes the order or
+    /// calls [`Planner::order_failed`].
+    pub fn consider(&mut self, now: Instant, targets: &[TargetView], weight: f64) -> Decision {
+        self.mix.advance(now);
+        self.availability.note(now, targets);
+        self.note_progress(now, targets);
+        let mut figures = Figures::default();
+        let verdict = match self.decide(now, targets, weight, &mut figures) {
+            Ok(verdict) => verdict,
+            Err(reason) => Verdict::Keep(reason),
+        };
+        let reason = match &verdict {
+            Verdict::Change {
+                target, from, to, ..
+            } => {
+                self.order(now, target, *from, *to);
+                None
+            }
+            Verdict::Keep(reason) => Some(reason.clone()),
+        };
+        let is_news = reason.is_none() || self.reason != reason;
+        self.reason = reason;
+        Decision {
+            verdict,
+            figures,
+            is_news,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        targets: &[TargetView],
+        weight: f64,
+        figures: &mut Figures,
+    ) -> Result<Verdict, Reason> {
+        let open: Vec<&TargetView> = targets.iter().filter(|view| is_open(view)).collect();
+        if self.mix.measured_s() < self.settings.fast_ms.as_secs_f64() {
+            return Err(Reason::TooEarly);
+        }
+        if let Some(ordered) = &self.pending {
+            return Err(Reason::InProgress {
+                target: ordered.target.clone(),
+            });
+        }
+        let best = self.measure(now, &open, figures);
+        if let Some(target) = self
+            .availability
+            .unsettled(now, targets, self.settings.gone_ms)
+        {
+            return Err(Reason::Unsettled { target });
+        }
+        let is_stale = |view: &&&TargetView| {
+            view.report_age_ms
+                .is_none_or(|age| age > self.settings.fresh_ms)
+        };
+        if let Some(stale) = open.iter().find(is_stale) {
+            return Err(Reason::StaleLoad {
+                target: stale.name.clone(),
+            });
+        }
+        let best = best.ok_or(Reason::NoGain)?;
+        let target = self.pick(&open, best.from).ok_or(Reason::NoGain)?;
+        if is_last_of_class(&open, target, best.to) {
+            return Err(Reason::LastOfClass {
+                target: target.name.clone(),
+            });
+        }
+        self.weigh(now, target, &best, weight, figures)?;
+        Ok(Verdict::Change {
+            target: target.name.clone(),
+            from: best.from,
+            to: best.to,
+        })
+    }
+
+    /// Fills in the figures, follows the shift and finds the best change.
+    fn measure(
+        &mut self,
+        now: Instant,
+        open: &[&TargetView],
+        figures: &mut Figures,
+    ) -> Option<Best> {
+        figures.fast = self.scaled(&self.mix.fast());
+        figures.slow = self.scaled(&self.mix.slow());
+        for view in open {
+            figures.roles.add(view.role);
+        }
+        let rates = &self.settings.rates;
+        figures.capacity = figures.roles.capacity(&figures.fast, rates);
+        let best = self.best_change(figures);
+        let Some(best) = best.filter(|best| best.gain >= self.settings.least_gain) else {
+            self.shift = None;
+            return None;
+        };
+        let towards_prefill = Roles::position(best.to) < Roles::position(best.from);
+        let since = match self.shift {
+            Some((direction, since)) if direction == towards_prefill => since,
+            _ => now,
+        };
+        self.shift = Some((towards_prefill, since));
+        figures.capacity_after = best.capacity;
+        figures.gain_fast = best.gain;
+        figures.shift_s = now.saturating_duration_since(since).as_secs_f64();
+        let after = figures.roles.with_change(best.from, best.to);
+        let before = figures.roles.capacity(&figures.slow, rates);
+        figures.gain_slow = self.gain(figures.roles, before, after.capacity(&figures.slow, rates));
+        Some(best)
+    }
+
+    fn best_change(&self, figures: &Figures) -> Option<Best> {
+        let rates = &self.settings.rates;
+        let mut best: Option<Best> = None;
+        for from in ROLES {
+            for to in ROLES {
+                if from == to || figures.roles.0[Roles::position(from)] == 0 {
+                    continue;
+                }
+                let after = figures.roles.with_change(from, to);
+                let capacity = after.capacity(&figures.fast, rates);
+                let gain = self.gain(figures.roles, figures.capacity, capacity);
+                if best.is_none_or(|best| gain > best.gain) {
+                    best = Some(Best {
+                        from,
+                        to,
+                        gain,
+                        capacity,
+                    });
+                }
+            }
+        }
+        best
+    }
+
+    /// Engines' worth of work gained. Capacity beyond the headroom is worth nothing.
+    fn gain(&self, roles: Roles, before: f64, after: f64) -> f64 {
+        let headroom = self.settings.headroom;
+        let share = (after.min(headroom) - before.min(headroom)) / headroom;
+        f64::from(roles.total()) * share
+    }
+
+    /// Weighs the gain against the seconds lost.
+    fn weigh(
+        &self,
+        now: Instant,
+        target: &TargetView,
+        best: &Best,
+        weight: f64,
+        figures: &mut Figures,
+    ) -> Result<(), Reason> {
+        let mechanisms = self.settings.mechanisms;
+        let fast_s = self.settings.fast_ms.as_secs_f64();
+        // A shift is expected to last as long again as it has lasted; after that the slow
+        // estimate is the better guess.
+        let later_s = if mechanisms.slow_estimate {
+            self.settings.slow_ms.as_secs_f64()
+        } else {
+            0.0
+        };
+        figures.gain_s = best.gain * figures.shift_s + figures.gain_slow * later_s;
+        let away_s = self.settings.away_ms.as_secs_f64();
+        let lost_s = away_s + DRAIN_LOSS * self.drain_s(target);
+        let reversal = self.reverses(now, best);
+        let factor = if reversal {
+            self.settings.reversal_factor
+        } else {
+            1.0
+        };
+        figures.cost_s = lost_s * weight * factor;
+        if mechanisms.patience && figures.shift_s < fast_s {
+            return Err(Reason::Patience);
+        }
+        if mechanisms.cost && figures.gain_s <= figures.cost_s {
+            return Err(if reversal {
+                Reason::Reversal
+            } else {
+                Reason::NotWorth
+            });
+        }
+        Ok(())
+    }
+
+    /// Time until the engine has finished what it has.
+    fn drain_s(&self, target: &TargetView) -> f64 {
+        let rates = &self.settings.rates[Roles::position(target.role)];
+        let streams = target.requests.max(1.0).min(f64::from(rates.slots));
+        let step_ms = rates.step_ms + rates.stream_ms * streams;
+        let prefill_ms = target.prefill_tokens * rates.prefill_ms_per_token;
+        (target.decode_tokens / streams * step_ms + prefill_ms) / 1e3
+    }
+
+    fn reverses(&self, now: Instant, best: &Best) -> bool {
+        let Some(last) = &self.last else {
+            return false;
+        };
+        let recent = now.saturating_duration_since(last.at) < self.settings.reversal_ms;
+        let direction = |from, to| Roles::position(to) < Roles::position(from);
+        let opposite = direction(last.from, last.to) != direction(best.from, best.to);
+        self.settings.mechanisms.hysteresis && recent && opposite
+    }
+
+    /// The target of a role that is drained soonest; the name decides between equals.
+    fn pick<'a>(&self, open: &[&'a TargetView], role: Role) -> Option<&'a TargetView> {
+        let in_role = open.iter().copied().filter(|view| view.role == role);
+        in_role.min_by(|a, b| {
+            let order = self.drain_s(a).total_cmp(&self.drain_s(b));
+            order.then_with(|| a.name.cmp(&b.name))
+        })
+    }
+
+    fn scaled(&self, demand: &crate::Demand) -> crate::Demand {
+        let mut scaled = *demand;
+        for rate in [&mut scaled.prefill_class, &mut scaled.decode_class] {
+            rate.prefill /= self.settings.traffic_share;
+            rate.decode /= self.settings.traffic_share;
+        }
+        scaled
+    }
+
+    fn note_progress(&mut self, now: Instant, targets: &[TargetView]) {
+        let Some(ordered) = &self.pending else {
+            return;
+        };
+        let is_done = |view: &TargetView| view.name == ordered.target && view.role == ordered.to;
+        let done = targets.iter().any(|view| is_done(view) && is_open(view));
+        let gone = !targets.iter().any(|view| view.name == ordered.target);
+        let late = now.saturating_duration_since(ordered.at) > self.settings.order_ms;
+        if done || gone || late {
+            self.pending = None;
+        }
+    }
+
+    fn order(&mut self, now: Instant, target: &TargetName, from: Role, to: Role) {
+        let ordered = Ordered {
+            target: target.clone(),
+            from,
+            to,
+            at: now,
+        };
+        self.last = Some(ordered.clone());
+        self.pending = Some(ordered);
+    }
+
+    /// Time for which a change in the same direction has looked useful.
+    #[must_use]
+    pub fn shift_ms(&self, now: Instant) -> Option<Duration> {
+        let (_, since) = self.shift?;
+        Some(now.saturating_duration_since(since))
+    }
+}
--- /dev/null
+++ b/components/planner/tests/decisions.rs
@@ -0,0 +1,197 @@
+//! Guards against role changes that do harm: needless, simultaneous, blind or irreversible ones.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use planner::Decision;
+use planner::Planner;
+use planner::Reason;
+use planner::Settings;
+use planner::Verdict;
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+use routing::Standing;
+use routing::TargetView;
+use types::AttemptId;
+use types::Role;
+
+const ROLES: [Role; 3] = [Role::Prefill, Role::Mixed, Role::Decode];
+
+/// A service under a steady or changing demand, stepped second by second.
+struct World {
+    planner: Planner,
+    now: Instant,
+    views: Vec<TargetView>,
+    attempts: u128,
+    weight: f64,
+}
+
+impl World {
+    fn new(roles: &[u8]) -> Self {
+        let settings = Settings::new(&routing::Settings::new("lago-puelo"));
+        let views = roles.iter().enumerate().map(|(at, role)| TargetView {
+            name: format!("engine-{at}"),
+            role: ROLES[usize::from(*role) % 3],
+            standing: Standing::Open,
+            report_age_ms: Some(Duration::ZERO),
+            requests: 4.0,
+            prefill_tokens: 0.0,
+            decode_tokens: 800.0,
+            applied: 0,
+        });
+        Self {
+            planner: Planner::new(settings),
+            now: Instant::now(),
+            views: views.collect(),
+            attempts: 0,
+            weight: 1.0,
+        }
+    }
+
+    /// One second in which engine time is demanded: `prefill` for long prompts, the rest for
+    /// long outputs, both as shares of the fleet.
+    fn second(&mut self, prefill: f64, decode: f64) -> Decision {
+        let engines = f64::from(u32::try_from(self.views.len()).unwrap());
+        self.now += Duration::from_secs(1);
+        for (prompt, output) in [
+            (prefill * engines * 1e3 / 0.1, 0.0),
+            (0.0, decode * engines * 1e3 / 0.31),
+        ] {
+            self.attempts += 1;
+            let attempt = AttemptId {
+                request: self.attempts,
+                number: 1,
+            };
+            self.planner.dispatched(self.now, attempt, prompt, output);
+        }
+        let decision = self.planner.consider(self.now, &self.views, self.weight);
+        if let Verdict::Change { target, to, .. } = &decision.verdict {
+            let view = self.views.iter_mut().find(|view| view.name == *target);
+            view.unwrap().role = *to;
+        }
+        decision
+    }
+
+    fn changes(&mut self, seconds: u32, prefill: f64, decode: f64) -> usize {
+        (0..seconds)
+            .filter(|_| is_change(&self.second(prefill, decode)))
+            .count()
+    }
+}
+
+fn is_change(decision: &Decision) -> bool {
+    matches!(decision.verdict, Verdict::Change { .. })
+}
+
+fn serves(views: &[TargetView], class: Role) -> bool {
+    let serving = |view: &TargetView| view.role == class || view.role == Role::Mixed;
+    views.iter().any(serving)
+}
+
+fn share(of: u8) -> f64 {
+    0.05 + f64::from(of % 100) / 100.0
+}
+
+quickcheck! {
+    fn comes_to_rest_in_a_steady_mix(roles: Vec<u8>, prefill: u8, decode: u8) -> TestResult {
+        if roles.len() < 2 || roles.len() > 16 {
+            return TestResult::discard();
+        }
+        let mut world = World::new(&roles);
+        world.changes(1_200, share(prefill), share(decode));
+        TestResult::from_bool(world.changes(300, share(prefill), share(decode)) == 0)
+    }
+
+    fn never_changes_the_last_target_of_a_class(roles: Vec<u8>, mixes: Vec<(u8, u8)>) -> TestResult {
+        let mut world = World::new(&roles);
+        let served = ROLES.map(|class| serves(&world.views, class));
+        if roles.len() > 12 {
+            return TestResult::discard();
+        }
+        for (prefill, decode) in mixes.iter().take(8) {
+            world.changes(120, share(*prefill), share(*decode));
+            for (class, served) in [Role::Prefill, Role::Decode].into_iter().zip([served[0], served[2]]) {
+                if served && !serves(&world.views, class) {
+                    return TestResult::failed();
+                }
+            }
+        }
+        TestResult::passed()
+    }
+
+    fn changes_nothing_while_a_target_is_unavailable(which: u8, standing: u8) -> bool {
+        let mut world = World::new(&[0, 1, 1, 2, 2, 2]);
+        world.changes(30, 0.3, 0.4);
+        let standing = [Standing::Away, Standing::Leaving, Standing::HostLeaving, Standing::Silent];
+        let at = usize::from(which) % world.views.len();
+        world.views[at].standing = standing[usize::from(which ^ 3) % standing.len()];
+        (0..50).all(|_| !is_change(&world.second(0.8, 0.1)))
+    }
+
+    fn changes_nothing_on_stale_load(which: u8) -> bool {
+        let mut world = World::new(&[0, 1, 1, 2, 2, 2]);
+        let at = usize::from(which) % world.views.len();
+        world.views[at].report_age_ms = Some(Duration::from_secs(10));
+        world.changes(300, 0.8, 0.1) == 0
+    }
+
+    fn gives_the_same_decisions_for_the_same_events(roles: Vec<u8>, mixes: Vec<(u8, u8)>) -> bool {
+        let run = || {
+            let mut world = World::new(&roles);
+            let decisions = mixes.iter().take(4).flat_map(|(prefill, decode)| {
+                (0..60).map(|_| world.second(share(*prefill), share(*decode))).collect::<Vec<_>>()
+            });
+            decisions.collect::<Vec<_>>()
+        };
+        run() == run()
+    }
+}
+
+#[test]
+fn follows_a_swing_that_lasts() {
+    let mut world = World::new(&[0, 1, 1, 1, 2, 2, 2, 2, 2]);
+    assert_eq!(world.changes(60, 0.1, 0.4), 0);
+    let changes = world.changes(600, 0.75, 0.1);
+    assert!(changes > 0);
+    let prefill = world.views.iter().filter(|view| view.role == Role::Prefill);
+    assert!(prefill.count() > 1);
+}
+
+#[test]
+fn a_higher_weight_means_no_more_changes() {
+    let count = |weight| {
+        let mut world = World::new(&[0, 1, 1, 1, 2, 2, 2, 2, 2]);
+        world.weight = weight;
+        world.changes(60, 0.1, 0.4);
+        world.changes(90, 0.6, 0.2) + world.changes(90, 0.1, 0.4)
+    };
+    assert!(count(10.0) <= count(1.0));
+    assert_eq!(count(1e6), 0);
+}
+
+#[test]
+fn waits_for_a_change_to_complete_before_the_next() {
+    let mut world = World::new(&[0, 1, 1, 1, 2, 2, 2, 2, 2]);
+    world.changes(60, 0.1, 0.4);
+    let first = (0..600).find_map(|_| match world.second(0.75, 0.1).verdict {
+        Verdict::Change { target, .. } => Some(target),
+        Verdict::Keep(_) => None,
+    });
+    let target = first.expect("a change");
+    let view = world.views.iter_mut().find(|view| view.name == target);
+    view.unwrap().standing = Standing::Away;
+    for _ in 0..30 {
+        let decision = world.second(0.75, 0.1);
+        let in_progress = Reason::InProgress {
+            target: target.clone(),
+        };
+        assert_eq!(decision.verdict, Verdict::Keep(in_progress));
+    }
+}
+
+#[test]
+fn explains_a_refusal_once_per_reason() {
+    let mut world = World::new(&[0, 1, 2]);
+    let news = (0..19).filter(|_| world.second(0.2, 0.2).is_news).count();
+    assert_eq!(news, 1);
+}
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -206,7 +206,7 @@
             return;
         }
         member.leaving = report.leaving;
-        member.away = report.away;
+        let was_away = std::mem::replace(&mut member.away, report.away);
         if report.applied >= member.target.applied {
             member.target.role = report.role;
             member.target.applied = report.applied;
@@ -214,6 +214,10 @@
                 member.target.loaded.clone_from(&report.loaded);
             }
         }
+        // An engine comes back from a change or a crash with an empty cache.
+        if was_away && !report.away {
+            self.members[at].holder = self.new_holder(at);
+        }
         self.refresh(now, at);
     }
 
@@ -260,6 +264,12 @@
         self.pools[*pool].members.iter().map(view).collect()
     }
 
+    /// What an attempt in flight is expected to cost its target.
+    #[must_use]
+    pub fn size_of(&self, attempt: AttemptId) -> Option<Size> {
+        self.sent.get(&attempt).map(|sent| sent.size)
+    }
+
     /// Pairs in the prefix-cache index.
     #[must_use]
     pub fn index_len(&self) -> usize {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -21,6 +21,7 @@
 pub use fleet::Fleet;
 pub use fleet::TargetView;
 pub use load::LoadModel;
+pub use load::Size;
 pub use member::Standing;
 pub use settings::Mechanisms;
 pub use settings::RoleRates;
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -80,10 +80,10 @@
     pub index_limit: usize,
     /// Rates in the role `Prefill`.
     pub prefill: RoleRates,
-    /// Rates in the role `Decode`.
-    pub decode: RoleRates,
     /// Rates in the role `Mixed`.
     pub mixed: RoleRates,
+    /// Rates in the role `Decode`.
+    pub decode: RoleRates,
     /// Parts that are switched on.
     pub mechanisms: Mechanisms,
 }
@@ -105,25 +105,25 @@
             index_limit: 1 << 17,
             prefill: RoleRates {
                 step_ms: 3.0,
-                stream_ms: 0.50,
-                prefill_ms_per_token: 0.055,
-                chunk_tokens: 512,
-                slots: 24,
-            },
-            decode: RoleRates {
-                step_ms: 3.0,
-                stream_ms: 0.12,
-                prefill_ms_per_token: 0.14,
-                chunk_tokens: 128,
-                slots: 96,
+                stream_ms: 0.35,
+                prefill_ms_per_token: 0.06,
+                chunk_tokens: 256,
+                slots: 32,
             },
             mixed: RoleRates {
                 step_ms: 3.0,
                 stream_ms: 0.25,
                 prefill_ms_per_token: 0.08,
-                chunk_tokens: 256,
+                chunk_tokens: 128,
                 slots: 48,
             },
+            decode: RoleRates {
+                step_ms: 3.0,
+                stream_ms: 0.16,
+                prefill_ms_per_token: 0.12,
+                chunk_tokens: 64,
+                slots: 64,
+            },
             mechanisms: Mechanisms::default(),
         }
     }
--- /dev/null
+++ b/examples/policy/baseline.rs
@@ -0,0 +1,173 @@
+//! Policies to compare with.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use planner::Mix;
+use request::Choice;
+use request::Need;
+use request::Router;
+use request::Settlement;
+use routing::Standing;
+use routing::TargetView;
+use types::AttemptId;
+use types::Incarnation;
+use types::LoadReport;
+use types::Role;
+use types::Target;
+use types::TargetName;
+
+/// Difference between share of work and share of engines that makes the bare threshold act.
+const THRESHOLD: f64 = 0.1;
+
+struct Member {
+    target: Target,
+    usable: bool,
+    sequence: u64,
+    outstanding: u32,
+}
+
+/// Round robin or least outstanding, with the same signs of membership as ours.
+pub struct Simple {
+    members: Vec<Member>,
+    least_outstanding: bool,
+    next: usize,
+}
+
+impl Simple {
+    pub fn new(least_outstanding: bool) -> Self {
+        Self {
+            members: Vec::new(),
+            least_outstanding,
+            next: 0,
+        }
+    }
+
+    pub fn target_set(&mut self, target: &Target) {
+        let known = self
+            .members
+            .iter_mut()
+            .find(|m| m.target.name == target.name);
+        match known {
+            Some(member) => member.target.state = target.state,
+            None => self.members.push(Member {
+                target: target.clone(),
+                usable: true,
+                sequence: 0,
+                outstanding: 0,
+            }),
+        }
+    }
+
+    pub fn load_report(&mut self, target: &str, report: &LoadReport) {
+        let member = self.members.iter_mut().find(|m| m.target.name == target);
+        if let Some(member) = member
+            && report.sequence > member.sequence
+        {
+            member.sequence = report.sequence;
+            member.usable = !report.leaving && !report.away;
+        }
+    }
+
+    fn member(&mut self, target: &str) -> Option<&mut Member> {
+        self.members.iter_mut().find(|m| m.target.name == target)
+    }
+}
+
+impl Router for Simple {
+    fn choose(&mut self, _now: Instant, need: &Need, exclude: &[TargetName]) -> Choice {
+        let count = self.members.len();
+        let open = |member: &Member| {
+            member.usable
+                && member.target.state.accepts_work()
+                && member.outstanding < need.concurrency_limit
+                && !exclude.contains(&member.target.name)
+        };
+        let order = (0..count).map(|step| (self.next + step) % count);
+        let mut usable = order.filter(|at| open(&self.members[*at]));
+        let chosen = if self.least_outstanding {
+            usable.min_by_key(|at| self.members[*at].outstanding)
+        } else {
+            usable.next()
+        };
+        let Some(at) = chosen else {
+            return Choice::Wait {
+                retry_ms: Duration::from_millis(20),
+            };
+        };
+        self.next = (at + 1) % count;
+        let target = &self.members[at].target;
+        Choice::Target {
+            target: target.name.clone(),
+            incarnation: Incarnation::default().max(target.incarnation),
+            finish_ms: Duration::ZERO,
+        }
+    }
+
+    fn dispatched(&mut self, _: Instant, target: &TargetName, _: AttemptId, _: &Need) {
+        if let Some(member) = self.member(target) {
+            member.outstanding += 1;
+        }
+    }
+
+    fn settled(&mut self, _: Instant, target: &TargetName, _: AttemptId, _: Settlement) {
+        if let Some(member) = self.member(target) {
+            member.outstanding = member.outstanding.saturating_sub(1);
+        }
+    }
+}
+
+/// Changes a role whenever the share of the work differs enough from the share of engines.
+pub struct BareThreshold {
+    pub mix: Mix,
+    pending: Option<(TargetName, Role)>,
+}
+
+impl BareThreshold {
+    pub fn new(settings: &planner::Settings) -> Self {
+        Self {
+            mix: Mix::new(settings.rates[1], settings.fast_ms, settings.slow_ms),
+            pending: None,
+        }
+    }
+
+    pub fn consider(
+        &mut self,
+        now: Instant,
+        targets: &[TargetView],
+        rates: &routing::RoleRates,
+    ) -> Option<(TargetName, Role)> {
+        self.mix.advance(now);
+        let open = || {
+            targets
+                .iter()
+                .filter(|view| view.standing == Standing::Open)
+        };
+        if let Some((target, role)) = &self.pending {
+            if !open().any(|view| view.name == *target && view.role == *role) {
+                return None;
+            }
+            self.pending = None;
+        }
+        let (prefill, decode) = self.mix.fast().engine_time(rates);
+        let wanted = prefill / (prefill + decode).max(1e-9);
+        let value = |view: &TargetView| match view.role {
+            Role::Prefill => 1.0,
+            Role::Mixed => 0.5,
+            Role::Decode => 0.0,
+        };
+        let (sum, count) = open().fold((0.0, 0.0), |(s, n), v| (s + value(v), n + 1.0));
+        let have: f64 = sum / f64::max(count, 1.0);
+        let (from, to) = if wanted > have + THRESHOLD {
+            ([Role::Decode, Role::Mixed], Role::Prefill)
+        } else if wanted < have - THRESHOLD {
+            ([Role::Prefill, Role::Mixed], Role::Decode)
+        } else {
+            return None;
+        };
+        let of_role = |role: Role| open().find(|view| view.role == role);
+        let target = from.into_iter().find_map(of_role)?.name.clone();
+        self.pending = Some((target.clone(), to));
+        Some((target, to))
+    }
+}
