--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use control::HeldLease;
 use control::Lease;
 use control::LeaseAction;
 use control::LeaseEvent;
@@ -203,4 +204,13 @@
         let lease = self.duties.services.get(service);
         lease.is_some_and(|lease| lease.held(now).is_some())
     }
+
+    /// Leases of services that are held now.
+    pub(super) fn held_services(&self, now: Instant) -> Vec<HeldLease> {
+        let leases = self.duties.services.values();
+        leases
+            .filter_map(|lease| lease.held(now))
+            .cloned()
+            .collect()
+    }
 }
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod note;
 pub mod operations;
 pub mod options;
+mod planning;
 pub mod probes;
 mod report;
 mod router;
@@ -44,6 +45,7 @@
 use crate::core::links::Links;
 use crate::core::operations::Operations;
 use crate::core::operations::Owner;
+use crate::core::planning::Plan;
 use crate::core::probes::Probes;
 use crate::core::router::PlanningRouter;
 
@@ -68,6 +70,8 @@
     leaving_hosts: BTreeSet<HostName>,
     hosts_due: Instant,
     hosts_failing: bool,
+    plans: BTreeMap<ServiceName, Plan>,
+    plans_due: Instant,
     next_peer: usize,
     next_tick: Instant,
     stopping: bool,
@@ -95,6 +99,8 @@
             leaving_hosts: BTreeSet::new(),
             hosts_due: now,
             hosts_failing: false,
+            plans: BTreeMap::new(),
+            plans_due: now,
             next_peer: 0,
             next_tick: now,
             stopping: false,
@@ -187,7 +193,7 @@
                 self.tell_follower(now, event, &mut actions);
             }
             Event::OrderPlanned { service, error } => {
-                order_planned(service, error, &mut actions);
+                self.order_planned(service, error, &mut actions);
             }
             Event::Leaving => self.leave(now, &mut actions),
             Event::Tick => {}
@@ -220,6 +226,7 @@
             actions.push(Action::ReadHosts);
         }
         self.tick_duties(now, actions);
+        self.tick_planning(now, actions);
     }
 
     fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -234,10 +241,16 @@
     fn begin(&mut self, owner: Owner, operation: u64) -> u64 {
         self.operations.begin(owner, operation)
     }
-}
 
-fn order_planned(service: ServiceName, error: Option<String>, actions: &mut Vec<Action>) {
-    if let Some(detail) = error {
-        actions.push(Action::Note(Note::OrderNotWritten { service, detail }));
+    fn order_planned(
+        &mut self,
+        service: ServiceName,
+        error: Option<String>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(detail) = error {
+            self.router.order_failed(&service);
+            actions.push(Action::Note(Note::OrderNotWritten { service, detail }));
+        }
     }
 }
--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -105,6 +105,7 @@
             "seen": view.map(describe),
             "connected": self.links.link(&target.value.name).is_some(),
             "candidates": self.candidates(now, service),
+            "plan": self.plans.get(service).map(|plan| plan.decision.to_string()),
         }))
     }
 
--- a/components/entry/src/core/router.rs
+++ b/components/entry/src/core/router.rs
@@ -1,10 +1,13 @@
 //! The router with the planners' measurements beside it.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::ops::Deref;
 use std::ops::DerefMut;
 use std::time::Instant;
 
+use planner::Decision;
+use planner::Planner;
 use request::Choice;
 use request::Need;
 use request::Router;
@@ -14,18 +17,54 @@
 use types::ServiceName;
 use types::TargetName;
 
+/// Weight of the latest look at the share of traffic; looks are a second apart.
+const SHARE_SMOOTHING: f64 = 0.1;
+
+/// Planner of one service and what it needs to know about this entry's part of the traffic.
+struct Seat {
+    planner: Planner,
+    in_flight: u32,
+    share: f64,
+}
+
 /// Passes every dispatch on to the fleet and to the planner of its service.
+///
+/// Every entry measures, so that an entry which takes over a lease plans from what it has seen.
 pub struct PlanningRouter {
     fleet: Fleet,
-    attempts: BTreeMap<AttemptId, ServiceName>,
+    planning: planner::Settings,
+    seats: BTreeMap<ServiceName, Seat>,
+    attempts: HashMap<AttemptId, ServiceName>,
 }
 
 impl PlanningRouter {
     /// Starts without targets.
     pub fn new(settings: routing::Settings, seed: u64) -> Self {
         Self {
+            planning: planner::Settings::new(&settings),
             fleet: Fleet::new(settings, seed),
-            attempts: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            attempts: HashMap::new(),
+        }
+    }
+
+    /// Looks at the targets of a service and decides on its roles.
+    pub fn consider(&mut self, now: Instant, service: &str, weight: f64) -> Option<Decision> {
+        let views = self.fleet.views(now, service);
+        let seat = self.seats.get_mut(service)?;
+        let total: f64 = views.iter().map(|view| view.requests).sum();
+        if total >= 1.0 {
+            let seen = (f64::from(seat.in_flight) / total).min(1.0);
+            seat.share += SHARE_SMOOTHING * (seen - seat.share);
+            seat.planner.set_traffic_share(seat.share);
+        }
+        Some(seat.planner.consider(now, &views, weight))
+    }
+
+    /// The order of the last change could not be written.
+    pub fn order_failed(&mut self, service: &str) {
+        if let Some(seat) = self.seats.get_mut(service) {
+            seat.planner.order_failed();
         }
     }
 }
@@ -51,7 +90,23 @@
 
     fn dispatched(&mut self, now: Instant, target: &TargetName, attempt: AttemptId, need: &Need) {
         self.fleet.dispatched(now, target, attempt, need);
-        self.attempts.insert(attempt, need.service.clone());
+        let Some(size) = self.fleet.size_of(attempt) else {
+            return;
+        };
+        if !self.seats.contains_key(&need.service) {
+            let seat = Seat {
+                planner: Planner::new(self.planning.clone()),
+                in_flight: 0,
+                share: 1.0,
+            };
+            self.seats.insert(need.service.clone(), seat);
+        }
+        if let Some(seat) = self.seats.get_mut(&need.service) {
+            seat.in_flight += 1;
+            seat.planner
+                .dispatched(now, attempt, size.prefill_tokens, size.decode_tokens);
+            self.attempts.insert(attempt, need.service.clone());
+        }
     }
 
     fn settled(
@@ -62,6 +117,16 @@
         settlement: Settlement,
     ) {
         self.fleet.settled(now, target, attempt, settlement);
-        self.attempts.remove(&attempt);
+        let Some(service) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        if let Some(seat) = self.seats.get_mut(&service) {
+            let usage = match settlement {
+                Settlement::Answered(usage) => Some(usage),
+                Settlement::Rejected | Settlement::Failed | Settlement::Cancelled => None,
+            };
+            seat.in_flight = seat.in_flight.saturating_sub(1);
+            seat.planner.settled(now, attempt, usage);
+        }
     }
 }
