--- a/components/operators/src/client.rs
+++ b/components/operators/src/client.rs
@@ -50,11 +50,15 @@
             Self::Command(error) => error.fmt(f),
             Self::Refused(problem) => write!(f, "{}: {}", problem.title, problem.detail),
             Self::Unreachable(detail) => {
-                write!(f, "{detail}; check --entry, or use another entry")
+                write!(
+                    f,
+                    "the entry was not reached ({detail}); check --entry, or use another entry"
+                )
             }
             Self::Interrupted(detail) => write!(
                 f,
-                "{detail}; look at `chervilspool audit` before you repeat a command"
+                "the entry's answer is lost ({detail}); look at `chervilspool audit` before you \
+                 repeat a command"
             ),
             Self::Malformed(detail) => write!(f, "the entry's answer is malformed: {detail}"),
         }
--- /dev/null
+++ b/src/cmd/daemon.rs
@@ -0,0 +1,42 @@
+//! Daemons, and the check of their settings.
+
+use std::path::Path;
+
+use settings::Loaded;
+use settings::SettingsError;
+
+use crate::cmd::CommandResult;
+use crate::failure::EXIT_FAILED;
+use crate::failure::Failure;
+
+impl From<SettingsError> for Failure {
+    fn from(error: SettingsError) -> Self {
+        Self::new(EXIT_FAILED, error)
+    }
+}
+
+pub(super) fn entry(file: &Path) -> CommandResult {
+    let settings = settings::load_entry(file)?;
+    ended(smol::block_on(entry::run(settings)))
+}
+
+pub(super) fn agent(file: &Path) -> CommandResult {
+    settings::load_agent(file)?;
+    Err(Failure::new(
+        EXIT_FAILED,
+        "the agent's daemon is not part of this build",
+    ))
+}
+
+pub(super) fn check(file: &Path) -> CommandResult {
+    let summary = match settings::load(file)? {
+        Loaded::Entry(entry) => format!("entry `{}`", entry.name),
+        Loaded::Agent(agent) => format!("agent of target `{}`", agent.target.name),
+    };
+    println!("{}: valid settings of {summary}", file.display());
+    Ok(())
+}
+
+fn ended(result: eyre::Result<()>) -> CommandResult {
+    result.map_err(|report| Failure::new(EXIT_FAILED, format!("{report:#}")))
+}
--- /dev/null
+++ b/src/cmd/engine.rs
@@ -0,0 +1,72 @@
+//! `engine` commands.
+
+use control::Command;
+use types::OrderKind;
+use types::Role;
+
+use crate::cli::ChangeOptions;
+use crate::cli::EngineCommand;
+use crate::cli::OrderContent;
+use crate::cmd::CommandResult;
+use crate::cmd::client;
+use crate::cmd::execute;
+use crate::cmd::print;
+use crate::failure::EXIT_USAGE;
+use crate::failure::Failure;
+
+pub(super) async fn run(command: EngineCommand) -> CommandResult {
+    match command {
+        EngineCommand::List(entry) => {
+            let status = client(&entry)?.status().await?;
+            print(&entry, &status["targets"]);
+            Ok(())
+        }
+        EngineCommand::Drain { change, name } => order(&change, name, OrderKind::Drain).await,
+        EngineCommand::Replace { change, name } => order(&change, name, OrderKind::Replace).await,
+        EngineCommand::Withdraw { change, name } => order(&change, name, OrderKind::Withdraw).await,
+        EngineCommand::Resume { change, name } => order(&change, name, OrderKind::Resume).await,
+        EngineCommand::Order {
+            change,
+            content,
+            name,
+        } => order(&change, name, kind(content)?).await,
+    }
+}
+
+async fn order(change: &ChangeOptions, target: String, order: OrderKind) -> CommandResult {
+    let client = client(&change.entry_options)?;
+    execute(&client, change, Command::OrderTarget { target, order }).await
+}
+
+fn kind(content: OrderContent) -> Result<OrderKind, Failure> {
+    Ok(match content {
+        OrderContent::LoadModel {
+            model,
+            model_version,
+        } => OrderKind::LoadModel {
+            model,
+            version: model_version,
+        },
+        OrderContent::LoadAdapter { load_adapter } => OrderKind::LoadAdapter {
+            adapter: load_adapter,
+        },
+        OrderContent::UnloadAdapter { unload_adapter } => OrderKind::UnloadAdapter {
+            adapter: unload_adapter,
+        },
+        OrderContent::ChangeRole { role } => OrderKind::ChangeRole {
+            role: parse(&role)?,
+        },
+    })
+}
+
+fn parse(role: &str) -> Result<Role, Failure> {
+    match role {
+        "prefill" => Ok(Role::Prefill),
+        "decode" => Ok(Role::Decode),
+        "mixed" => Ok(Role::Mixed),
+        _ => Err(Failure::new(
+            EXIT_USAGE,
+            "--role: use `prefill`, `decode` or `mixed`",
+        )),
+    }
+}
--- /dev/null
+++ b/src/output.rs
@@ -0,0 +1,206 @@
+//! Human-readable output.
+
+use control::CommandOutcome;
+use serde_json::Map;
+use serde_json::Value;
+use types::Change;
+use types::change::ChangeBody;
+
+/// Prints a value as JSON.
+pub fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("{error}"),
+    }
+}
+
+/// Renders a value: scalar fields as lines, lists of objects as tables.
+pub fn render(value: &Value) -> String {
+    let mut out = String::new();
+    match value {
+        Value::Object(fields) => render_fields(fields, &mut out),
+        Value::Array(items) => out.push_str(&table(items)),
+        other => {
+            out.push_str(&cell(other));
+            out.push('\n');
+        }
+    }
+    out
+}
+
+/// Renders a list of objects with one column for each field that occurs.
+pub fn table(items: &[Value]) -> String {
+    if items.is_empty() {
+        return "none\n".to_owned();
+    }
+    let mut columns: Vec<&str> = Vec::new();
+    for item in items {
+        for name in item.as_object().into_iter().flat_map(Map::keys) {
+            if !columns.contains(&name.as_str()) {
+                columns.push(name);
+            }
+        }
+    }
+    if columns.is_empty() {
+        return items.iter().map(|item| cell(item) + "\n").collect();
+    }
+    let mut rows = vec![columns.iter().map(|name| (*name).to_owned()).collect()];
+    rows.extend(items.iter().map(|item| {
+        let value = |name: &&str| item.get(*name).map_or(String::new(), cell);
+        columns.iter().map(value).collect::<Vec<String>>()
+    }));
+    align(&rows)
+}
+
+/// One line about a command that succeeded.
+pub fn outcome(outcome: &CommandOutcome) -> String {
+    let change = &outcome.change;
+    if outcome.dry_run {
+        format!("would be revision {}: {}", change.revision, body(change))
+    } else {
+        format!("revision {}: {}", change.revision, body(change))
+    }
+}
+
+/// One line about a change.
+pub fn change(change: &Change) -> String {
+    let mut line = format!(
+        "{}  {}  {}  {}",
+        change.revision,
+        time(change.at_ms.as_secs()),
+        change.by,
+        body(change)
+    );
+    if !change.reason.is_empty() {
+        line.push_str("  -- ");
+        line.push_str(&change.reason);
+    }
+    line
+}
+
+fn body(change: &Change) -> String {
+    match &change.body {
+        ChangeBody::Profile { before, after } => {
+            difference(&format!("profile/{}", after.name), before.as_ref(), after)
+        }
+        ChangeBody::ProfileRetired { name, .. } => format!("profile/{name} retired"),
+        ChangeBody::Service { before, after } => {
+            difference(&format!("service/{}", after.name), before.as_ref(), after)
+        }
+        ChangeBody::Target { before, after } => {
+            difference(&format!("target/{}", after.name), before.as_ref(), after)
+        }
+        ChangeBody::Order { after, .. } => {
+            let kind = serde_json::to_value(&after.kind).unwrap_or_default();
+            format!(
+                "order/{} number {}: {}",
+                after.target,
+                after.number,
+                cell(&kind)
+            )
+        }
+        ChangeBody::PlanKept { service } => format!("plan of service/{service} kept"),
+    }
+}
+
+fn difference<T: serde::Serialize>(item: &str, before: Option<&T>, after: &T) -> String {
+    let Some(before) = before else {
+        return format!("{item} created");
+    };
+    let before = serde_json::to_value(before).unwrap_or_default();
+    let after = serde_json::to_value(after).unwrap_or_default();
+    let changed: Vec<String> = after
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(name, value)| before.get(name) != Some(value))
+        .map(|(name, value)| {
+            let old = before.get(name).map_or(String::new(), cell);
+            format!("{name} {old} -> {}", cell(value))
+        })
+        .collect();
+    if changed.is_empty() {
+        return format!("{item} unchanged");
+    }
+    format!("{item} {}", changed.join(", "))
+}
+
+fn render_fields(fields: &Map<String, Value>, out: &mut String) {
+    let is_table = |value: &Value| {
+        value
+            .as_array()
+            .is_some_and(|a| a.iter().any(Value::is_object))
+    };
+    let rows: Vec<Vec<String>> = fields
+        .iter()
+        .filter(|(_, value)| !is_table(value))
+        .map(|(name, value)| vec![format!("{name}:"), cell(value)])
+        .collect();
+    out.push_str(&align(&rows));
+    for (name, value) in fields.iter().filter(|(_, value)| is_table(value)) {
+        out.push('\n');
+        out.push_str(name);
+        out.push_str(":\n");
+        out.push_str(&table(value.as_array().map_or(&[], Vec::as_slice)));
+    }
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        Value::Object(fields) => {
+            let parts = fields
+                .iter()
+                .map(|(name, value)| format!("{name}={}", cell(value)));
+            parts.collect::<Vec<_>>().join(" ")
+        }
+        Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(","),
+        other => other.to_string(),
+    }
+}
+
+fn align(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut out = String::new();
+    for row in rows {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            let padding = width.saturating_sub(cell.chars().count()) + 2;
+            line.push_str(cell);
+            line.extend(std::iter::repeat_n(' ', padding));
+        }
+        out.push_str(line.trim_end());
+        out.push('\n');
+    }
+    out
+}
+
+/// UTC time of day and date, by the usual conversion of days to a civil date.
+fn time(epoch_s: u64) -> String {
+    let (days, second) = (epoch_s / 86_400, epoch_s % 86_400);
+    // Years start in March, so that the leap day is the last day of a year.
+    let shifted = days + 719_468;
+    let (era, day_of_era) = (shifted / 146_097, shifted % 146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
+    let month = if shifted_month < 10 {
+        shifted_month + 3
+    } else {
+        shifted_month - 9
+    };
+    let year = year_of_era + era * 400 + u64::from(month <= 2);
+    let (hour, minute) = (second / 3600, second / 60 % 60);
+    format!(
+        "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}Z",
+        second % 60
+    )
+}
