--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -45,7 +45,7 @@
 pub fn run(settings: AgentSettings) -> eyre::Result<()> {
     let limits = limits(&settings);
     let keys = keys(&settings).ok_or_else(|| eyre!("field `keys`: state at least one key"))?;
-    let logger = logger(&settings.log).new(o!(
+    let logger = logger(settings.log).new(o!(
         "target" => limits.target.clone(),
         "incarnation" => format!("{:016x}", limits.incarnation),
     ));
@@ -102,7 +102,7 @@
 }
 
 /// Writes to standard error on the calling thread.
-fn logger(log: &Log) -> Logger {
+fn logger(log: Log) -> Logger {
     let level = match log.level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -91,10 +91,10 @@
 /// # Errors
 ///
 /// An address is taken, or the settings cannot work.
-pub async fn run(settings: EntrySettings) -> eyre::Result<()> {
+pub fn run(settings: EntrySettings) -> eyre::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let serving = serve(settings, executor.clone());
-    executor.run(serving).await
+    smol::block_on(executor.run(serving))
 }
 
 async fn serve(settings: EntrySettings, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,7 +18,11 @@
 
 cleanup() {
   local pid
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    [ -n "$pid" ] || continue
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
   if [ "$failures" = 0 ]; then rm -rf "$work"; else echo "logs are kept in $work"; fi
 }
 trap cleanup EXIT
@@ -203,7 +207,8 @@
 show "work order" "$(cat "$work/order1.status")" "$work/order1"
 show "work order, sent again" "$(cat "$work/order2.status")" "$work/order2"
 check "work order is answered twice alike" "$(cat "$work/order1.status") $(cat "$work/order1")" "$(cat "$work/order2.status") $(cat "$work/order2")"
-check "work order ran once" 1 "$(curl -sS "http://$plain/counters" | grep -o '"started": *[0-9]*' | grep -o '[0-9]*' | paste -sd+ | sed 's/^$/0/' | xargs -I{} echo $(({})) 2>/dev/null || true)"
+runs_of_order() { curl -sS "http://$plain/counters" | grep -o '"runs":{[^}]*}' | grep -o ':[0-9][0-9]*' | tr -d ':'; }
+check "work order ran once" 1 "$(runs_of_order)"
 status=$(ask "$entry1" ordenes-mulas orders-book/new "$order" "$work/order3")
 check "work order without a key is refused as not run" '400 "run":"not-run"' "$status $(grep -o '"run":"[^"]*"' "$work/order3")"
 
@@ -220,8 +225,11 @@
 
 in_force() { "$bin" profile show logbook --json --entry "$1" | grep -q '"deadline_ms": *45000'; }
 wait_for "change is in force at entry 2" in_force "$control2"
-"$bin" engine order "$serving" --role decode --reason "demo: role change of a drained engine" >/dev/null || true
-"$bin" engine resume "$serving" --reason "demo: back in service" >/dev/null || true
+"$bin" engine order "$serving" --role decode --reason "demo: role change of a drained engine" >/dev/null
+wait_for "role change is executed" "$bin" engine resume "$serving" --reason "demo: back in service"
+wait_for "all targets take work again" open_targets "$control1" 4
+roles() { "$bin" status --json | grep -o '"role": *"decode"' | wc -l; }
+check "role change is in force" 1 "$(roles)"
 
 echo
 echo "audit trail, newest first:"
@@ -237,6 +245,7 @@
       kill -TERM "${pids[$index]}"
       code=0
       wait "${pids[$index]}" || code=$?
+      pids[index]=
       check "$name stops gracefully" 0 "$code"
     fi
   done
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -17,15 +17,12 @@
 
 pub(super) fn entry(file: &Path) -> CommandResult {
     let settings = settings::load_entry(file)?;
-    ended(smol::block_on(entry::run(settings)))
+    ended(entry::run(settings))
 }
 
 pub(super) fn agent(file: &Path) -> CommandResult {
-    settings::load_agent(file)?;
-    Err(Failure::new(
-        EXIT_FAILED,
-        "the agent's daemon is not part of this build",
-    ))
+    let settings = settings::load_agent(file)?;
+    ended(agent::run(settings))
 }
 
 pub(super) fn check(file: &Path) -> CommandResult {
