--- a/components/request/src/connections.rs
+++ b/components/request/src/connections.rs
@@ -40,15 +40,20 @@
     pub(crate) fn connection_down(&mut self, cx: &mut Context, target: &TargetName) {
         self.connections.remove(target);
         for id in self.runs_at(target, |_| true) {
-            let Some(run) = self.runs.get(&id) else {
-                continue;
-            };
-            if let Some(attempt) = &run.attempt
-                && run.idempotent
-            {
-                let timer = Timer::Reconnect(attempt.id);
-                self.timers.insert((cx.now + RECONNECT_MS, timer));
-            }
+            self.watch_connection(cx, id);
+        }
+    }
+
+    /// Gives a target without a connection some time, if the attempt can be moved.
+    pub(crate) fn watch_connection(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get(&id).filter(|run| run.idempotent) else {
+            return;
+        };
+        if let Some(attempt) = &run.attempt
+            && !self.connections.contains_key(&attempt.target)
+        {
+            let timer = Timer::Reconnect(attempt.id);
+            self.timers.insert((cx.now + RECONNECT_MS, timer));
         }
     }
 
--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -137,6 +137,7 @@
         run.phase = Phase::Running;
         run.answer.restart();
         run.tried.push(target.clone());
+        // A later attempt sends the answer from its start, to the offset that callers allow.
         let granted = run.consumed() + WINDOW_BYTES;
         for message in messages(cx, run, attempt, incarnation, granted) {
             let target = target.clone();
@@ -152,6 +153,7 @@
             own: true,
         });
         self.attempts.insert(attempt, id);
+        self.watch_connection(cx, id);
     }
 
     /// Ends the attempt in progress and forgets it; its late messages are dropped from now on.
