--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use control::HeldLease;
 use control::Lease;
 use control::LeaseAction;
 use control::LeaseEvent;
@@ -204,22 +205,12 @@
         lease.is_some_and(|lease| lease.held(now).is_some())
     }
 
-    /// Latest decision about a service; `None` unless it was planned here.
-    pub(super) fn plan_of(&self, _service: &str) -> Option<serde_json::Value> {
-        None
-    }
-
-    pub(super) fn order_planned(
-        &mut self,
-        service: &str,
-        error: Option<String>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(detail) = error {
-            actions.push(Action::Note(Note::OrderNotWritten {
-                service: service.to_owned(),
-                detail,
-            }));
-        }
+    /// Leases of services that are held now.
+    pub(super) fn held_services(&self, now: Instant) -> Vec<HeldLease> {
+        let leases = self.duties.services.values();
+        leases
+            .filter_map(|lease| lease.held(now))
+            .cloned()
+            .collect()
     }
 }
