--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -4,4 +4,16 @@
 pub mod engine_cache;
 pub mod engine_job;
 pub mod engine_report;
+pub mod hosts;
 pub mod table;
+pub mod target;
+pub mod tasks;
+
+pub use hosts::FakeHosts;
+pub use table::FakeTable;
+pub use table::TableFaults;
+pub use table::TablePort;
+pub use target::FakeTarget;
+pub use target::Ledger;
+pub use tasks::Tasks;
+pub use tasks::VirtualTimer;
