--- a/components/control/src/execute.rs
+++ b/components/control/src/execute.rs
@@ -154,11 +154,13 @@
     }
 
     fn meta(&self, author: Author<'_>) -> Meta {
-        let at_ms = self
+        let since_epoch = self
             .clock
             .wall()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
+        // Whole milliseconds, as the log keeps them: the outcome equals the log record.
+        let at_ms = Duration::from_millis(u64::try_from(since_epoch.as_millis()).unwrap_or(0));
         Meta {
             by: author.by.to_owned(),
             reason: author.reason.to_owned(),
--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -4,6 +4,9 @@
 //! revision. A process with a snapshot does not need the table. One without a snapshot, or
 //! one that knows that it is behind, asks its peers while the table does not answer.
 
+mod event;
+mod options;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +22,10 @@
 use types::Incarnation;
 use types::Revision;
 
+pub use event::FollowerAction;
+pub use event::FollowerEvent;
+pub use options::FollowerOptions;
+
 use crate::keys;
 use crate::loading;
 use crate::loading::Loading;
@@ -35,97 +42,6 @@
 /// at twenty times the average rate.
 const RECENT_RECORDS: usize = 4096;
 
-/// Times of a follower.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FollowerOptions {
-    /// Time between polls; each one is drawn between three quarters of it and the whole.
-    pub poll_ms: Duration,
-    /// Time without an answer of the table after which peers are asked.
-    pub peers_after_ms: Duration,
-    /// Time without an answer after which a call is forgotten and made again. Longer than the
-    /// guarded table's give-up time.
-    pub call_timeout_ms: Duration,
-}
-
-impl Default for FollowerOptions {
-    fn default() -> Self {
-        Self {
-            poll_ms: Duration::from_secs(1),
-            peers_after_ms: Duration::from_millis(750),
-            call_timeout_ms: Duration::from_secs(15),
-        }
-    }
-}
-
-/// What a follower is told.
-#[derive(Debug, Clone, PartialEq)]
-pub enum FollowerEvent {
-    /// Time passed.
-    Tick,
-    /// A table request ended.
-    TableDone {
-        /// From the action.
-        operation: u64,
-        /// Its end.
-        result: Result<TableReply, PlatformError>,
-    },
-    /// Another process has applied this revision.
-    Hint {
-        /// Its revision.
-        revision: Revision,
-    },
-    /// A peer asks for the changes after a revision.
-    PeerAsks {
-        /// Run of the peer.
-        peer: Incarnation,
-        /// Revision that it has; 0 for none.
-        after: Revision,
-    },
-    /// A peer answered.
-    PeerAnswered {
-        /// Run of the peer.
-        peer: Incarnation,
-        /// Its answer.
-        answer: PeerAnswer,
-    },
-}
-
-/// What a follower wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum FollowerAction {
-    /// Make a call and report its end.
-    Table {
-        /// Number of the call within this follower.
-        operation: u64,
-        /// The call.
-        request: TableRequest,
-    },
-    /// Ask a peer for the changes after a revision; another one each time.
-    AskPeer {
-        /// Revision in force here; 0 asks for a snapshot.
-        after: Revision,
-    },
-    /// Answer a peer.
-    AnswerPeer {
-        /// Run of the peer.
-        peer: Incarnation,
-        /// The answer.
-        answer: PeerAnswer,
-    },
-    /// A newer snapshot is in force.
-    Applied {
-        /// The snapshot.
-        snapshot: Rc<Snapshot>,
-        /// Changes that led to it, oldest first; empty after a whole snapshot was read.
-        changes: Vec<Change>,
-    },
-    /// Something in the table or from a peer was not understood, and was not applied.
-    Rejected {
-        /// For the log.
-        detail: String,
-    },
-}
-
 /// How far a follower is behind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Behind {
