--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -21,11 +21,8 @@
 }
 
 pub(super) fn agent(file: &Path) -> CommandResult {
-    settings::load_agent(file)?;
-    Err(Failure::new(
-        EXIT_FAILED,
-        "the agent's daemon is not part of this build",
-    ))
+    let settings = settings::load_agent(file)?;
+    ended(agent::run(settings))
 }
 
 pub(super) fn check(file: &Path) -> CommandResult {
--- a/src/cmd/engine.rs
+++ b/src/cmd/engine.rs
@@ -1,6 +1,8 @@
 //! `engine` commands.
 
 use control::Command;
+use serde_json::Map;
+use serde_json::Value;
 use types::OrderKind;
 use types::Role;
 
@@ -18,7 +20,7 @@
     match command {
         EngineCommand::List(entry) => {
             let status = client(&entry)?.status().await?;
-            print(&entry, &status["targets"]);
+            print(&entry, &targets(&status));
             Ok(())
         }
         EngineCommand::Drain { change, name } => order(&change, name, OrderKind::Drain).await,
@@ -33,6 +35,20 @@
     }
 }
 
+/// Targets of a status, which lists them by service.
+fn targets(status: &Value) -> Vec<Value> {
+    let mut targets = Vec::new();
+    for service in status["services"].as_array().into_iter().flatten() {
+        for target in service["targets"].as_array().into_iter().flatten() {
+            let mut row = Map::new();
+            row.insert("service".to_owned(), service["service"].clone());
+            row.extend(target.as_object().cloned().unwrap_or_default());
+            targets.push(Value::Object(row));
+        }
+    }
+    targets
+}
+
 async fn order(change: &ChangeOptions, target: String, order: OrderKind) -> CommandResult {
     let client = client(&change.entry_options)?;
     execute(&client, change, Command::OrderTarget { target, order }).await
