--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -17,7 +17,7 @@
 
 pub(super) fn entry(file: &Path) -> CommandResult {
     let settings = settings::load_entry(file)?;
-    ended(smol::block_on(entry::run(settings)))
+    ended(entry::run(settings))
 }
 
 pub(super) fn agent(file: &Path) -> CommandResult {
