--- a/components/callers/src/port.rs
+++ b/components/callers/src/port.rs
@@ -67,6 +67,7 @@
         body_ms: limits.body_ms,
         idle_ms: limits.idle_ms,
         write_stall_ms: limits.write_stall_ms,
+        held_bodies_bytes: limits.held_bodies_bytes,
     }
 }
 
@@ -169,6 +170,10 @@
     }
 
     fn handle<'a>(&'a self, request: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a> {
+        if !self.gateway.health().staying {
+            // Callers move to another entry before this one closes its listener.
+            exchange.close_after();
+        }
         Box::pin(async move {
             let class = match self.answer(request, exchange).await {
                 Ok(200..=299) => "2xx",
--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -1,8 +1,8 @@
 //! A server connection: one request after the other.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::Shutdown;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -14,7 +14,6 @@
 use http_types::Method;
 use smol::Timer;
 use smol::channel::Receiver;
-use smol::net::TcpStream;
 use types::RunState;
 
 use crate::body::BodyDecoder;
@@ -25,7 +24,6 @@
 use crate::head::Head;
 use crate::head::HeadError;
 use crate::head::parse_head;
-use crate::limits::ServerLimits;
 use crate::problem::Problem;
 use crate::server::Handler;
 use crate::server::Request;
@@ -33,13 +31,15 @@
 /// Longest time for which bytes of a refused request are read and dropped. Closing a socket with
 /// unread bytes resets the connection, and the peer might lose the answer.
 const LINGER_MS: Duration = Duration::from_secs(2);
+/// Time after which a caller comes back if no more bodies can be held.
+const OVERLOADED_RETRY_MS: Duration = Duration::from_secs(1);
 /// Answer to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What became of reading a request.
 enum Incoming {
-    /// A whole request.
-    Request(Box<Head>, Vec<u8>),
+    /// A whole request, and its share of the held bodies.
+    Request(Box<Head>, Vec<u8>, Held),
     /// Answered with a problem; the bytes after it cannot be trusted.
     Refused(Problem),
     /// Answered with a problem; the next request can be read.
@@ -48,24 +48,17 @@
     Closed,
 }
 
-pub(crate) async fn run(
-    stream: TcpStream,
-    peer: SocketAddr,
-    limits: ServerLimits,
-    handler: Rc<dyn Handler>,
-    stop: Receiver<()>,
-) {
-    let _ = stream.set_nodelay(true);
-    let mut exchange = Exchange::new(stream, peer, limits);
+pub(crate) async fn run(mut exchange: Exchange, handler: Rc<dyn Handler>, stop: Receiver<()>) {
+    let _ = exchange.stream.set_nodelay(true);
     loop {
         exchange.progress = Progress::Awaited;
         exchange.head_only = false;
         match read_request(&mut exchange, &*handler, &stop).await {
-            Incoming::Request(head, body) => {
+            Incoming::Request(head, body, _share) => {
                 let request = Request {
                     head: head.request,
                     body,
-                    peer,
+                    peer: exchange.peer,
                 };
                 exchange.close = head.close || stop.is_closed();
                 handler.handle(request, &mut exchange).await;
@@ -124,10 +117,12 @@
         Err(problem) => return Incoming::Refused(problem),
     };
     if no_body {
-        return Incoming::Request(Box::new(head), Vec::new());
+        let share = Held::new(exchange);
+        return Incoming::Request(Box::new(head), Vec::new(), share);
     }
-    match read_body(exchange, &head, limit_bytes).await {
-        Ok(Some(body)) => Incoming::Request(Box::new(head), body),
+    let mut share = Held::new(exchange);
+    match read_body(exchange, &head, limit_bytes, &mut share).await {
+        Ok(Some(body)) => Incoming::Request(Box::new(head), body, share),
         Ok(None) => Incoming::Closed,
         Err(problem) => Incoming::Refused(problem),
     }
@@ -140,6 +135,7 @@
 ) -> Result<Option<Head>, HeadError> {
     let limits = exchange.limits;
     let mut searched = 0;
+    exchange.watchdog.set(limits.idle_ms);
     loop {
         if searched == 0 {
             skip_empty_lines(&mut exchange.input);
@@ -161,7 +157,8 @@
             if stop.is_closed() {
                 return Ok(None);
             }
-            exchange.watchdog.set(limits.idle_ms);
+            // An idle connection keeps no buffer.
+            exchange.input = Vec::new();
         } else if searched == 0 {
             exchange.watchdog.set(limits.head_ms);
         }
@@ -195,6 +192,7 @@
     exchange: &mut Exchange,
     head: &Head,
     limit_bytes: u64,
+    share: &mut Held,
 ) -> Result<Option<Vec<u8>>, Problem> {
     let announced = match head.framing {
         Framing::Length(length) => length,
@@ -207,11 +205,11 @@
     {
         return Ok(None);
     }
-    // The announced length is not reserved at once: a peer may announce much and send nothing.
-    let mut body = Vec::with_capacity(exchange.input.len());
+    let mut body = Vec::new();
     let mut decoder = BodyDecoder::new(head.framing);
     exchange.watchdog.set(exchange.limits.body_ms);
     loop {
+        reserve(&mut body, announced, exchange.input.len());
         let used = decoder
             .decode(&exchange.input, &mut body)
             .map_err(|error| bad_request(error.to_string()))?;
@@ -219,6 +217,9 @@
         if body.len() as u64 > limit_bytes {
             return Err(too_large(limit_bytes));
         }
+        if !share.grow_to(body.len(), exchange.limits.held_bodies_bytes) {
+            return Err(overloaded());
+        }
         if decoder.is_done() {
             exchange.watchdog.clear();
             return Ok(Some(body));
@@ -236,6 +237,43 @@
     }
 }
 
+/// Doubles the space for a body, but not beyond its announced length. The announced length is not
+/// reserved at once, because a peer may announce much and send nothing.
+fn reserve(body: &mut Vec<u8>, announced: u64, arrived: usize) {
+    let left = usize::try_from(announced).map_or(usize::MAX, |a| a.saturating_sub(body.len()));
+    if body.capacity() - body.len() < arrived {
+        body.reserve_exact(left.min(arrived.max(body.len())));
+    }
+}
+
+/// Share of one request in the bodies that the server holds.
+struct Held {
+    total: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Held {
+    fn new(exchange: &Exchange) -> Self {
+        Self {
+            total: exchange.held_bodies.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Returns whether the body still fits.
+    fn grow_to(&mut self, bytes: usize, limit_bytes: usize) -> bool {
+        self.total.set(self.total.get() + (bytes - self.bytes));
+        self.bytes = bytes;
+        self.total.get() <= limit_bytes
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
+}
+
 async fn send_continue(exchange: &mut Exchange) -> Result<(), HungUp> {
     exchange.send_raw(CONTINUE).await
 }
@@ -297,6 +335,16 @@
     Problem::new(400, "bad-request", detail).run(RunState::NotRun)
 }
 
+fn overloaded() -> Problem {
+    Problem::new(
+        503,
+        "overloaded",
+        "too many bytes of requests are held here",
+    )
+    .run(RunState::NotRun)
+    .retry_after(OVERLOADED_RETRY_MS)
+}
+
 fn too_large(limit_bytes: u64) -> Problem {
     let detail = format!("the body is larger than {limit_bytes} bytes");
     Problem::new(413, "body-too-large", detail).run(RunState::NotRun)
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -1,11 +1,13 @@
 //! One request and its answer on a server connection.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
+use std::rc::Rc;
 use std::task::Poll;
 
 use async_h1::server::Encoder;
@@ -27,6 +29,9 @@
 /// Most bytes of later requests that are read while an answer is awaited.
 const READ_AHEAD_LIMIT_BYTES: usize = 16 << 10;
 
+/// Largest buffer that a connection keeps for its next write.
+const KEPT_OUTPUT_BYTES: usize = 4 << 10;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Progress {
     Awaited,
@@ -47,11 +52,18 @@
     pub(crate) progress: Progress,
     pub(crate) head_only: bool,
     pub(crate) close: bool,
+    /// Bytes of bodies held by all connections of the server.
+    pub(crate) held_bodies: Rc<Cell<usize>>,
     output: Vec<u8>,
 }
 
 impl Exchange {
-    pub(crate) fn new(stream: TcpStream, peer: SocketAddr, limits: ServerLimits) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: ServerLimits,
+        held_bodies: Rc<Cell<usize>>,
+    ) -> Self {
         Self {
             stream,
             peer,
@@ -61,6 +73,7 @@
             progress: Progress::Awaited,
             head_only: false,
             close: false,
+            held_bodies,
             output: Vec::new(),
         }
     }
@@ -161,6 +174,11 @@
         self.output.extend_from_slice(b"\r\n");
     }
 
+    /// Closes the connection after this answer, and tells the peer so in its head.
+    pub fn close_after(&mut self) {
+        self.close = true;
+    }
+
     /// Whether the head of the answer was sent.
     #[must_use]
     pub fn is_started(&self) -> bool {
@@ -212,6 +230,9 @@
         })
         .await;
         self.watchdog.clear();
+        if self.output.capacity() > KEPT_OUTPUT_BYTES {
+            self.output = Vec::new();
+        }
         self.output.clear();
         if result.is_err() {
             self.progress = Progress::Broken;
--- a/components/http/src/limits.rs
+++ b/components/http/src/limits.rs
@@ -19,6 +19,9 @@
     pub idle_ms: Duration,
     /// Longest time in which the peer accepts no byte of an answer.
     pub write_stall_ms: Duration,
+    /// Bytes of bodies held at once, over all connections; a request whose body does not fit gets
+    /// `503`. A body counts from its first byte to the end of its answer.
+    pub held_bodies_bytes: usize,
 }
 
 impl Default for ServerLimits {
@@ -31,6 +34,7 @@
             body_ms: Duration::from_secs(30),
             idle_ms: Duration::from_secs(75),
             write_stall_ms: Duration::from_secs(30),
+            held_bodies_bytes: 512 << 20,
         }
     }
 }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -66,6 +66,7 @@
     stop: Receiver<()>,
 ) -> io::Result<()> {
     let open = Rc::new(Cell::new(0_usize));
+    let held_bodies = Rc::new(Cell::new(0_usize));
     let (running, finished) = smol::channel::bounded::<()>(1);
     while let Some(accepted) = accept_or_stop(&listener, &stop).await {
         let Ok((stream, peer)) = accepted else {
@@ -78,7 +79,8 @@
         }
         open.set(open.get() + 1);
         let (open, running) = (open.clone(), running.clone());
-        let connection = connection::run(stream, peer, limits, handler.clone(), stop.clone());
+        let exchange = Exchange::new(stream, peer, limits, held_bodies.clone());
+        let connection = connection::run(exchange, handler.clone(), stop.clone());
         executor
             .spawn(async move {
                 connection.await;
--- a/components/http/tests/server.rs
+++ b/components/http/tests/server.rs
@@ -173,3 +173,48 @@
         assert!(refused.starts_with("HTTP/1.1 404"), "{refused}");
     });
 }
+
+// Guards against memory use by many large bodies that are each within the limit.
+#[test]
+fn refuses_bodies_that_do_not_fit_beside_the_held_ones() {
+    let limits = ServerLimits {
+        held_bodies_bytes: 1500,
+        ..ServerLimits::default()
+    };
+    with_server(limits, |server| async move {
+        let request = |path: &str| {
+            let body = "x".repeat(1000);
+            format!(
+                "POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 1000\r\n\r\n{body}"
+            )
+        };
+        let mut held = TcpStream::connect(server.addr).await.unwrap();
+        held.write_all(request("/never").as_bytes()).await.unwrap();
+        assert!(noted(&server.echo, "run /never").await);
+        let refused = send_raw(server.addr, request("/b").as_bytes()).await;
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        assert!(refused.contains("\"run\":\"not-run\""), "{refused}");
+        drop(held);
+        assert!(noted(&server.echo, "hung up /never").await);
+        let accepted = send_raw(server.addr, request("/b").as_bytes()).await;
+        assert!(accepted.starts_with("HTTP/1.1 200"), "{accepted}");
+    });
+}
+
+// Guards against connections that are kept open by empty lines.
+#[test]
+fn closes_idle_connections_in_spite_of_empty_lines() {
+    with_server(limits(), |server| async move {
+        let mut stream = TcpStream::connect(server.addr).await.unwrap();
+        let mut writer = stream.clone();
+        let lines = async {
+            while writer.write_all(b"\r\n").await.is_ok() {
+                smol::Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        let closed = async {
+            assert_eq!(read_to_end(&mut stream).await, "");
+        };
+        futures_lite::future::or(lines, closed).await;
+    });
+}
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -87,6 +87,8 @@
         connections: usize = 4096,
         /// Callers' requests in flight at once.
         requests: usize = 4096,
+        /// Bytes of bodies held at once, over all requests in flight.
+        held_bodies_bytes: usize = 512 << 20,
         /// Largest head of a request.
         head_bytes: usize = 16 << 10,
         /// Most fields in a head.
@@ -212,6 +214,11 @@
                 "use at least 1",
             ),
             (self.requests >= 1, "limits.requests", "use at least 1"),
+            (
+                self.held_bodies_bytes >= 1 << 20,
+                "limits.held_bodies_bytes",
+                "use at least 1048576",
+            ),
             (
                 (1 << 10..=16 << 10).contains(&self.head_bytes),
                 "limits.head_bytes",
--- a/components/settings/src/section.rs
+++ b/components/settings/src/section.rs
@@ -10,7 +10,7 @@
     ) => {
         $(#[$meta])*
         #[serde_with::serde_as]
-        #[derive(Debug, Clone, PartialEq, Eq, serde::Deserialize)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
         #[serde(deny_unknown_fields, default)]
         pub struct $name {
             $($(#[$field_meta])* pub $field: $type,)*
