--- /dev/null
+++ b/components/entry/src/daemon/gateway.rs
@@ -0,0 +1,69 @@
+//! The entry as the callers' side sees it.
+
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use callers::CallerLimits;
+use callers::Gateway;
+use callers::Health;
+use types::Refusal;
+use types::Reply;
+use types::RequestId;
+use types::Submission;
+
+use crate::core::Event;
+use crate::daemon::Daemon;
+
+/// Hands callers' requests to the daemon.
+pub struct EntryGateway {
+    daemon: Rc<Daemon>,
+}
+
+impl EntryGateway {
+    pub fn new(daemon: Rc<Daemon>) -> Self {
+        Self { daemon }
+    }
+}
+
+impl Gateway for EntryGateway {
+    fn limits(&self, service: &str) -> Result<CallerLimits, Refusal> {
+        let core = self.daemon.core.borrow();
+        let terms = core.terms(service).ok_or_else(|| core.no_terms(service))?;
+        Ok(CallerLimits {
+            kind: terms.kind,
+            body_limit_bytes: terms.profile.body_limit_bytes,
+            output_limit_tokens: terms.profile.output_limit_tokens,
+        })
+    }
+
+    fn submit(&self, submission: Submission) -> (RequestId, Receiver<Reply>) {
+        let (sender, receiver) = async_channel::unbounded();
+        let request = self.daemon.core.borrow_mut().new_request();
+        self.daemon.replies.borrow_mut().insert(request, sender);
+        self.daemon.feed(Event::Submitted {
+            request,
+            submission,
+        });
+        (request, receiver)
+    }
+
+    fn consumed(&self, request: RequestId, bytes: u64) {
+        self.daemon.feed(Event::Consumed { request, bytes });
+    }
+
+    fn hang_up(&self, request: RequestId) {
+        self.daemon.replies.borrow_mut().remove(&request);
+        self.daemon.feed(Event::CallerGone { request });
+    }
+
+    fn health(&self) -> Health {
+        Health {
+            staying: self.daemon.staying.get(),
+            ready: self.daemon.core.borrow().snapshot().is_some(),
+        }
+    }
+
+    fn metrics(&self) -> String {
+        self.daemon.meters.render(&self.daemon.core.borrow())
+    }
+}
