--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,277 @@
+//! The command line against an operators' port with scripted answers.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command as Process;
+use std::process::Output;
+use std::rc::Rc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use control::Command;
+use control::CommandError;
+use control::CommandOutcome;
+use control::CommandRequest;
+use operators::Control;
+use operators::ControlFuture;
+use operators::OperatorsPort;
+use settings::OperatorSettings;
+use settings::Token;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use types::Change;
+use types::Profile;
+use types::Revision;
+use types::Service;
+use types::change::ChangeBody;
+
+const TOKEN: &str = "0123456789abcdef0123456789abcdef";
+
+/// Fails commands about items whose name tells how, and notes the rest.
+#[derive(Default)]
+struct Scripted {
+    conditions: RefCell<Vec<Option<Revision>>>,
+}
+
+fn profile(name: &str) -> Profile {
+    Profile {
+        name: name.to_owned(),
+        model: "m".to_owned(),
+        ..Profile::default()
+    }
+}
+
+impl Control for Scripted {
+    fn execute(
+        &self,
+        operator: String,
+        request: CommandRequest,
+    ) -> ControlFuture<'_, CommandOutcome> {
+        self.conditions.borrow_mut().push(request.if_revision);
+        let result = match &request.command {
+            Command::RetireProfile { name } if name == "missing" => Err(CommandError::NotFound {
+                item: "profile/missing".to_owned(),
+            }),
+            Command::RetireProfile { name } if name == "used" => Err(CommandError::InUse {
+                item: "profile/used".to_owned(),
+                by: "service/desk".to_owned(),
+            }),
+            Command::RetireProfile { name } if name == "outage" => Err(CommandError::Unavailable {
+                detail: "no answer".to_owned(),
+            }),
+            Command::ChangeProfile { profile: after } => Ok(ChangeBody::Profile {
+                before: Some(profile(&after.name)),
+                after: after.clone(),
+            }),
+            _ => Ok(ChangeBody::PlanKept {
+                service: "desk".to_owned(),
+            }),
+        };
+        Box::pin(async move {
+            Ok(CommandOutcome {
+                change: Change {
+                    revision: 8,
+                    at_ms: Duration::from_secs(1_764_794_096),
+                    by: operator,
+                    reason: request.reason,
+                    token: 1,
+                    body: result?,
+                },
+                dry_run: request.dry_run,
+            })
+        })
+    }
+
+    fn profiles(&self) -> Vec<(Revision, Profile)> {
+        vec![(7, profile("desk"))]
+    }
+
+    fn services(&self) -> Vec<Service> {
+        Vec::new()
+    }
+
+    fn status(&self) -> serde_json::Value {
+        serde_json::json!({
+            "revision": 7,
+            "entries": [{"name": "e1", "revision": 7}, {"name": "e2", "revision": 6}],
+        })
+    }
+
+    fn explain(&self, _: &str) -> Option<serde_json::Value> {
+        None
+    }
+
+    fn audit(&self, _: Option<Revision>, _: usize) -> ControlFuture<'_, Vec<Change>> {
+        Box::pin(async move {
+            Ok(vec![Change {
+                revision: 1,
+                at_ms: Duration::from_secs(1_764_794_096),
+                by: "guardia".to_owned(),
+                reason: "storm".to_owned(),
+                token: 1,
+                body: ChangeBody::Profile {
+                    before: None,
+                    after: profile("desk"),
+                },
+            }])
+        })
+    }
+}
+
+fn program(arguments: &[&str]) -> Output {
+    Process::new(env!("CARGO_BIN_EXE_chervilspool"))
+        .args(arguments)
+        .env_remove("CHERVILSPOOL_ENTRY")
+        .env_remove("CHERVILSPOOL_TOKEN_FILE")
+        .output()
+        .unwrap()
+}
+
+/// File with the token, written once, because tests run beside each other.
+fn token_file() -> String {
+    static FILE: OnceLock<String> = OnceLock::new();
+    let file = FILE.get_or_init(|| {
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("token");
+        std::fs::write(&file, format!("{TOKEN}\n")).unwrap();
+        file.display().to_string()
+    });
+    file.clone()
+}
+
+/// Runs the program against a port; returns exit code, standard output and standard error.
+fn run(arguments: &[&str], control: Rc<Scripted>) -> (i32, String, String) {
+    let token_file = token_file();
+    let executor = Rc::new(LocalExecutor::new());
+    let server = executor.clone();
+    smol::block_on(executor.run(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr: SocketAddr = listener.local_addr().unwrap();
+        let (_stop, stopped) = smol::channel::bounded(1);
+        let operators = [OperatorSettings {
+            name: "guardia".to_owned(),
+            token: Token(TOKEN.to_owned()),
+        }];
+        let port = Rc::new(OperatorsPort::new(&operators, control));
+        let serving = operators::serve(listener, port, server.clone(), stopped);
+        server.spawn(async move { serving.await.unwrap() }).detach();
+        let mut arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
+        arguments.extend(["--entry".to_owned(), addr.to_string()]);
+        arguments.extend(["--token-file".to_owned(), token_file]);
+        let output = smol::unblock(move || {
+            let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+            program(&arguments)
+        })
+        .await;
+        (
+            output.status.code().unwrap(),
+            String::from_utf8(output.stdout).unwrap(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
+    }))
+}
+
+// Guards against scripts that cannot tell a conflict from an outage.
+#[test]
+fn exit_codes_tell_failures_apart() {
+    let cases: [(&[&str], i32); 8] = [
+        (&["profile", "retire", "old"], 0),
+        (&["profile", "change", "desk", "--set", "priority=77"], 1),
+        (&["profile", "change", "desk", "--set", "priorty=1"], 2),
+        (&["profile", "retire"], 2),
+        (&["profile", "retire", "used"], 3),
+        (&["profile", "retire", "missing"], 4),
+        (&["explain", "nothing"], 4),
+        (&["profile", "retire", "outage"], 5),
+    ];
+    for (arguments, code) in cases {
+        let (exit, out, error) = run(arguments, Rc::default());
+        assert_eq!(exit, code, "{arguments:?}\n{out}{error}");
+        assert_eq!(error.is_empty(), code == 0, "{arguments:?}\n{error}");
+    }
+}
+
+// Guards against a change that silently reverts another operator's.
+#[test]
+fn profile_change_is_conditional_on_the_revision_it_read() {
+    let control = Rc::new(Scripted::default());
+    let arguments = ["profile", "change", "desk", "--set", "deadline_ms=8000"];
+    let (code, out, error) = run(&arguments, control.clone());
+    assert_eq!(code, 0, "{error}");
+    assert_eq!(out, "revision 8: profile/desk deadline_ms 30000 -> 8000\n");
+    assert_eq!(*control.conditions.borrow(), [Some(7)]);
+}
+
+#[test]
+fn profile_show_names_entries_that_are_behind() {
+    let (_, out, _) = run(&["profile", "show", "desk"], Rc::default());
+    let line = out
+        .lines()
+        .find(|line| line.starts_with("not_yet_in_force_on:"));
+    assert!(line.unwrap().ends_with(" e2"), "{out}");
+}
+
+#[test]
+fn audit_prints_who_when_what_and_why() {
+    let (_, out, _) = run(&["audit"], Rc::default());
+    assert_eq!(
+        out,
+        "1  2025-12-03T20:34:56Z  guardia  profile/desk created  -- storm\n"
+    );
+    let (_, json, _) = run(&["audit", "--json"], Rc::default());
+    let changes: Vec<Change> = serde_json::from_str(&json).unwrap();
+    assert_eq!(changes[0].reason, "storm");
+}
+
+#[test]
+fn check_names_file_line_and_field() {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("entry.jsonc");
+    let text = include_str!("../examples/settings/kitagawa-entry.jsonc");
+    std::fs::write(&file, text.replace("\"connections\"", "\"conections\"")).unwrap();
+    let shown = file.display().to_string();
+    let output = program(&["check", "--settings", &shown]);
+    assert_eq!(output.status.code(), Some(1));
+    let error = String::from_utf8(output.stderr).unwrap();
+    let line = 1 + text
+        .lines()
+        .position(|l| l.contains("connections"))
+        .unwrap();
+    let start = format!("{shown}:{line}: field `limits.conections`: ");
+    assert!(error.starts_with(&start), "{error}");
+}
+
+#[test]
+fn every_help_has_an_example() {
+    let commands = [
+        "entry",
+        "agent",
+        "check",
+        "profile",
+        "service",
+        "engine",
+        "status",
+        "explain",
+        "audit",
+        "profile create",
+        "profile change",
+        "profile retire",
+        "profile list",
+        "profile show",
+        "service set",
+        "service list",
+        "engine list",
+        "engine drain",
+        "engine replace",
+        "engine withdraw",
+        "engine resume",
+        "engine order",
+    ];
+    for command in commands {
+        let mut arguments: Vec<&str> = command.split(' ').collect();
+        arguments.push("--help");
+        let output = program(&arguments);
+        assert_eq!(output.status.code(), Some(0));
+        let help = String::from_utf8(output.stdout).unwrap();
+        assert!(help.contains("Example: chervilspool "), "{command}\n{help}");
+    }
+}
