--- a/components/agent/src/change.rs
+++ b/components/agent/src/change.rs
@@ -43,6 +43,8 @@
     pub since: Instant,
     /// No step before this.
     pub not_before: Instant,
+    /// A step was passed to the engine before; it may still take effect.
+    was_passed: bool,
 }
 
 impl Change {
@@ -63,6 +65,7 @@
             stage,
             since: now,
             not_before: now,
+            was_passed: false,
         }
     }
 
@@ -78,6 +81,7 @@
             stage,
             since: now,
             not_before: now,
+            was_passed: false,
         }
     }
 
@@ -85,6 +89,7 @@
     pub fn enter(&mut self, now: Instant, stage: Stage) {
         self.stage = stage;
         self.since = now;
+        self.was_passed |= stage == Stage::Passing;
     }
 
     /// Goes on with another step towards the wanted state, not before a time.
@@ -99,7 +104,9 @@
     #[must_use]
     pub fn stops_work(&self) -> bool {
         self.wanted.is_some()
-            && (self.is_repair || !matches!(self.stage, Stage::Slot | Stage::SlotAsked))
+            && (self.is_repair
+                || self.was_passed
+                || !matches!(self.stage, Stage::Slot | Stage::SlotAsked))
     }
 
     /// Order to pass on now.
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -261,10 +261,10 @@
         let in_service = self.attempts.in_service();
         let before = flags(&self.attempts.load);
         self.orders.advance(now, in_service, out);
-        self.orders.describe(&mut self.attempts.load);
+        self.orders.describe(now, &mut self.attempts.load);
         // A stage that was entered just now is carried on at once.
         self.orders.advance(now, in_service, out);
-        self.orders.describe(&mut self.attempts.load);
+        self.orders.describe(now, &mut self.attempts.load);
         if flags(&self.attempts.load) == before {
             return;
         }
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -43,6 +43,12 @@
     follows_a_run: bool,
     /// An order sent before this time may still reach the engine.
     quiet_until: Option<Instant>,
+    /// When the last answer to an order came; a state read before says nothing of the order.
+    passed_at: Option<Instant>,
+    /// The answer to an order of this run was lost.
+    in_doubt: bool,
+    /// The order row was read.
+    has_polled: bool,
     hold: Hold,
 }
 
@@ -76,6 +82,9 @@
             started: 0,
             follows_a_run: false,
             quiet_until: None,
+            passed_at: None,
+            in_doubt: false,
+            has_polled: false,
             hold: Hold::Kept,
         }
     }
@@ -152,6 +161,7 @@
             return;
         }
         let number = change.order.number;
+        self.passed_at = Some(now);
         self.engine.hurry();
         let detail = match outcome {
             OrderOutcome::Taken => {
@@ -160,6 +170,7 @@
             }
             OrderOutcome::Unanswered(detail) => {
                 self.quiet_until = Some(now + self.limits.order_settle_ms);
+                self.in_doubt = true;
                 change.enter(now, Stage::Verify(now));
                 Some(detail)
             }
@@ -207,6 +218,7 @@
         order: Option<Order>,
         out: &mut Vec<Action>,
     ) {
+        self.has_polled = true;
         let seen = self.latest.as_ref().map_or(0, |latest| latest.number);
         let read = order.as_ref().map_or(0, |order| order.number);
         if read < seen {
@@ -414,7 +426,10 @@
     /// Whether nothing sent earlier can still reach the engine or be in progress there.
     fn may_pass(&self, now: Instant) -> bool {
         self.quiet_until.is_none_or(|until| now >= until)
-            && self.engine.state().is_some_and(|state| !state.away)
+            && match self.passed_at {
+                Some(since) => self.engine.settled_since(since).is_some(),
+                None => self.engine.state().is_some_and(|state| !state.away),
+            }
     }
 
     fn take_next(&mut self, now: Instant, out: &mut Vec<Action>) {
@@ -496,8 +511,17 @@
         }
     }
 
+    /// Whether an order of unknown outcome may still take effect, and would cut work off. An
+    /// earlier run has left one only if its order is not recorded as executed.
+    fn awaits_quiet(&self, now: Instant) -> bool {
+        let applied = self.row.held.as_ref().map_or(0, |held| held.applied);
+        let is_outstanding = self.latest.as_ref().is_some_and(|at| at.number > applied);
+        self.quiet_until.is_some_and(|until| now < until)
+            && (self.in_doubt || is_outstanding || !self.has_polled)
+    }
+
     /// Sets the target's part of the load report.
-    pub fn describe(&self, load: &mut LoadBook) {
+    pub fn describe(&self, now: Instant, load: &mut LoadBook) {
         let change = self.change.as_ref();
         let state = self.engine.state();
         let held = self.row.held.as_ref();
@@ -514,6 +538,7 @@
             || (self.is_model()
                 && (state.is_none_or(|state| state.away)
                     || is_lost
+                    || self.awaits_quiet(now)
                     || change.is_some_and(Change::stops_work)));
         if let Some(state) = state {
             load.loaded.clone_from(&state.loaded);
