--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -12,6 +12,7 @@
 use wire::ToAgent;
 
 use crate::action::Action;
+use crate::finish::not_taken;
 use crate::refusal::Ending;
 use crate::refusal::RETRY_MS;
 use crate::requests::Context;
@@ -111,6 +112,10 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
+        if run.dispatches >= run.terms.profile.attempt_limit {
+            self.refuse(cx, id, &not_taken());
+            return;
+        }
         run.attempts += 1;
         if run.claim.is_some() {
             self.take_claim(cx, id, target, incarnation);
@@ -135,6 +140,7 @@
             return;
         };
         run.phase = Phase::Running;
+        run.dispatches += 1;
         run.answer.restart();
         run.tried.push(target.clone());
         // A later attempt sends the answer from its start, to the offset that callers allow.
--- a/components/request/src/finish.rs
+++ b/components/request/src/finish.rs
@@ -7,6 +7,7 @@
 use types::RequestId;
 use types::RunState;
 use types::Usage;
+use wire::Rejection;
 
 use crate::action::Action;
 use crate::action::Outcome;
@@ -25,18 +26,29 @@
 
 impl Requests {
     /// The attempt was not run and will not be.
-    pub(crate) fn attempt_rejected(&mut self, cx: &mut Context, id: RequestId) {
+    pub(crate) fn attempt_rejected(
+        &mut self,
+        cx: &mut Context,
+        id: RequestId,
+        reason: Option<Rejection>,
+    ) {
         self.end_attempt(cx, id, Settlement::Rejected);
         let Some(run) = self.runs.get(&id) else {
             return;
         };
-        if run.attempts < run.terms.profile.attempt_limit {
+        // Another entry may have taken the claim over; then its attempt is the one to follow.
+        if run.claim.as_ref().is_some_and(|claim| claim.keyed)
+            && reason == Some(Rejection::Forbidden)
+            && !run.waiters.is_empty()
+        {
+            self.read_claim(cx, id);
+            return;
+        }
+        if run.dispatches < run.terms.profile.attempt_limit {
             self.retry(cx, id);
             return;
         }
-        let detail = "no target took the request";
-        let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
-        self.refuse(cx, id, &refusal);
+        self.refuse(cx, id, &not_taken());
     }
 
     /// The attempt failed and may have run.
@@ -53,7 +65,7 @@
             self.lose_outcome(cx, id, &outcome_unknown());
             return;
         }
-        if run.attempts < run.terms.profile.attempt_limit {
+        if run.dispatches < run.terms.profile.attempt_limit {
             self.retry(cx, id);
             return;
         }
@@ -250,3 +262,9 @@
         }
     }
 }
+
+/// Every attempt was rejected.
+pub(crate) fn not_taken() -> Ending<'static> {
+    let detail = "no target took the request";
+    Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail)
+}
--- a/components/request/src/relay.rs
+++ b/components/request/src/relay.rs
@@ -44,9 +44,9 @@
             return;
         };
         match message {
-            ToEntry::Rejected { .. } => self.attempt_rejected(cx, id),
+            ToEntry::Rejected { reason, .. } => self.attempt_rejected(cx, id, Some(reason)),
             ToEntry::Failed { run, detail, .. } => match run {
-                RunState::NotRun => self.attempt_rejected(cx, id),
+                RunState::NotRun => self.attempt_rejected(cx, id, None),
                 RunState::Unknown => self.attempt_failed(cx, id, &detail),
             },
             ToEntry::Head {
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -36,6 +36,8 @@
     Budget,
     /// Time for the table to answer about the claim of a run.
     Claim(RequestId),
+    /// Ask an agent about another entry's attempt.
+    Ask(AttemptId),
     /// Time for an agent to answer about another entry's attempt.
     Enquiry(AttemptId),
     /// Time for a run that no caller waits for.
@@ -200,6 +202,7 @@
                 Timer::Pump => self.pump_due = true,
                 Timer::Budget => self.release_delayed(cx),
                 Timer::Claim(id) => self.claim_overdue(cx, id),
+                Timer::Ask(attempt) => self.ask(cx, attempt),
                 Timer::Enquiry(attempt) => {
                     if let Some(&id) = self.enquiries.get(&attempt) {
                         self.enquiry_overdue(cx, id);
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -86,7 +86,10 @@
     pub idempotent: bool,
     pub waiters: SmallVec<[Waiter; 1]>,
     pub phase: Phase,
+    /// Number of the last attempt.
     pub attempts: u32,
+    /// Attempts that were sent.
+    pub dispatches: u32,
     pub tried: SmallVec<[TargetName; 2]>,
     pub attempt: Option<Attempt>,
     pub answer: Answer,
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -199,6 +199,7 @@
         waiters: smallvec![new_waiter(now, request, deadline)],
         phase: Phase::Queued,
         attempts: 0,
+        dispatches: 0,
         tried: smallvec![],
         attempt: None,
         answer: Answer::default(),
--- a/components/request/src/takeover.rs
+++ b/components/request/src/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use types::AttemptId;
 use types::Incarnation;
 use types::RefusalReason;
 use types::RequestId;
@@ -27,6 +28,11 @@
 /// Time for an agent to say whether it started an attempt: the 2 s after which a silent
 /// connection is replaced, and one for the new connection.
 const ENQUIRY_TIMEOUT_MS: Duration = Duration::from_secs(3);
+/// Time for another entry that has just taken a claim to dispatch under it. Without it, two
+/// entries that get the same request at once forbid each other's attempts until both give up.
+const ENQUIRY_DELAY_MS: Duration = Duration::from_millis(40);
+/// The delay doubles with every contest, up to 640 ms.
+const MAX_DOUBLINGS: u32 = 4;
 
 impl Requests {
     /// Asks the agent named in another entry's claim.
@@ -36,8 +42,22 @@
         if let Some(run) = self.runs.get_mut(&id) {
             run.phase = Phase::Enquiring(Box::new(row));
         }
-        self.send_forbid(cx, id);
-        self.set_timer(cx.now + ENQUIRY_TIMEOUT_MS, Timer::Enquiry(attempt));
+        let contests = self
+            .runs
+            .get(&id)
+            .and_then(|run| run.claim.as_ref())
+            .map_or(0, |claim| claim.contests);
+        let doublings = contests.saturating_sub(1).min(MAX_DOUBLINGS);
+        let delay = ENQUIRY_DELAY_MS * (1 << doublings);
+        self.set_timer(cx.now + delay, Timer::Ask(attempt));
+        self.set_timer(cx.now + delay + ENQUIRY_TIMEOUT_MS, Timer::Enquiry(attempt));
+    }
+
+    /// The other entry has had its time to dispatch.
+    pub(crate) fn ask(&mut self, cx: &mut Context, attempt: AttemptId) {
+        if let Some(&id) = self.enquiries.get(&attempt) {
+            self.send_forbid(cx, id);
+        }
     }
 
     fn send_forbid(&self, cx: &mut Context, id: RequestId) {
--- a/components/request/tests/interleavings.rs
+++ b/components/request/tests/interleavings.rs
@@ -80,3 +80,17 @@
     assert_eq!(world.violations, Vec::<String>::new());
     assert_eq!(world.answered(), 2);
 }
+
+/// Guards against two entries that get the same request at once, forbid each other's attempts
+/// in turn, and refuse both callers.
+#[test]
+fn answers_both_callers_when_questions_overtake_dispatches() {
+    let mut world = World::new();
+    world.submit(0, Some(1), false);
+    world.submit(1, Some(1), false);
+    world.settle_forbids_first();
+    assert_eq!(world.answered(), 2);
+    assert_eq!(world.refused(), 0);
+    world.finish();
+    assert_eq!(world.violations, Vec::<String>::new());
+}
