--- a/components/agent/src/daemon/mod.rs
+++ b/components/agent/src/daemon/mod.rs
@@ -43,6 +43,8 @@
 pub struct Parts {
     /// Identity and limits.
     pub limits: Limits,
+    /// Address to listen on for entries.
+    pub listen: SocketAddr,
     /// HTTP address of the target.
     pub target: SocketAddr,
     /// Keys for frames and datagrams.
@@ -92,7 +94,7 @@
 }
 
 async fn serve_on(parts: Parts, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
-    let address = parts.limits.address;
+    let address = parts.listen;
     let (listener, udp) = server::bind(address)?;
     let (exit, exited) = async_channel::bounded(1);
     let daemon = Rc::new(Daemon::new(parts, executor, udp, exit));
--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -60,6 +60,7 @@
     let weights = HttpWeightStore::new(settings.platform.weights, HttpOptions::default());
     serve(Parts {
         limits,
+        listen: settings.listen,
         target: settings.target.address,
         keys,
         table: Rc::new(guarded),
@@ -72,6 +73,7 @@
     // 0 stands for a released row.
     let incarnation = rand::random::<u64>().max(1);
     let target = &settings.target;
+    let advertised = settings.advertise.unwrap_or(settings.listen);
     let concurrency = usize::try_from(settings.concurrency).unwrap_or(usize::MAX);
     Limits {
         service: target.service.clone(),
@@ -85,7 +87,7 @@
         order_poll_ms: settings.order_poll_ms,
         order_settle_ms: settings.order_settle_ms,
         notice_ms: settings.drain.notice_ms,
-        ..Limits::new(target.name.clone(), incarnation, settings.listen)
+        ..Limits::new(target.name.clone(), incarnation, advertised)
     }
 }
 
--- a/components/agent/tests/daemon.rs
+++ b/components/agent/tests/daemon.rs
@@ -67,6 +67,7 @@
     });
     std::thread::spawn(move || {
         agent::serve(Parts {
+            listen: agent,
             limits: Limits::new("engine-1", INCARNATION, agent),
             target: engine,
             keys: keys(),
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -36,8 +36,12 @@
     pub region: String,
     /// Data centre.
     pub place: Place,
-    /// Address for entries, TCP and UDP; it is written to the table, so it has to be reachable.
+    /// Address to listen on for entries, TCP and UDP.
     pub listen: SocketAddr,
+    /// Address that entries reach the agent by, if it differs from `listen`. It is written to
+    /// the table.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Addresses of the platform's services.
     pub platform: PlatformAddresses,
     /// Keys; the first one signs.
--- /dev/null
+++ b/examples/chaos/process.rs
@@ -0,0 +1,135 @@
+//! Child processes that can be killed, paused and stopped.
+
+use std::fs::File;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use smol::Timer;
+
+/// Longest graceful stop.
+const STOP_MS: Duration = Duration::from_secs(30);
+
+/// A program with its arguments, and its running process.
+pub struct Process {
+    name: String,
+    program: std::path::PathBuf,
+    arguments: Vec<String>,
+    log: std::path::PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts a program; its standard error goes to a log file.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        folder: &Path,
+    ) -> eyre::Result<Self> {
+        let mut process = Self {
+            name: name.to_owned(),
+            program: program.to_owned(),
+            arguments: arguments.to_vec(),
+            log: folder.join(format!("{name}.log")),
+            child: None,
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the program again.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .wrap_err_with(|| format!("cannot write {}", self.log.display()))?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| {
+                format!(
+                    "cannot start {}; run cargo build --release --workspace --locked",
+                    self.program.display()
+                )
+            })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Name for the log.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Resumes the process.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Stops the process gracefully; true if it ended with status 0.
+    pub async fn stop(&mut self) -> bool {
+        self.resume();
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else {
+            return true;
+        };
+        let until = Instant::now() + STOP_MS;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self
+            .child
+            .as_ref()
+            .and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
