--- a/components/entry/src/core/note.rs
+++ b/components/entry/src/core/note.rs
@@ -112,25 +112,25 @@
 impl Note {
     /// Number in the catalogue.
     #[must_use]
-    pub fn code(&self) -> u16 {
+    pub fn code(&self) -> &'static str {
         match self {
-            Self::Started { .. } => 1001,
-            Self::Stopping { .. } => 1002,
-            Self::Stopped => 1003,
-            Self::SettingsReloaded { .. } => 1004,
-            Self::ConfigurationApplied { .. } => 1101,
-            Self::ConfigurationRejected { .. } => 1102,
-            Self::TargetUp { .. } => 1201,
-            Self::TargetDown { .. } => 1202,
-            Self::AgentGone { .. } => 1203,
-            Self::HostListFailed { .. } => 1204,
-            Self::DatagramRefused { .. } => 1205,
-            Self::PeerRefused { .. } => 1206,
-            Self::RequestSettled { .. } => 1301,
-            Self::LeaseAcquired { .. } => 1401,
-            Self::LeaseLost { .. } => 1402,
-            Self::OrderPlanned { .. } => 1403,
-            Self::OrderNotWritten { .. } => 1404,
+            Self::Started { .. } => "CS1001",
+            Self::Stopping { .. } => "CS1002",
+            Self::Stopped => "CS1003",
+            Self::SettingsReloaded { .. } => "CS1004",
+            Self::ConfigurationApplied { .. } => "CS1101",
+            Self::ConfigurationRejected { .. } => "CS1102",
+            Self::TargetUp { .. } => "CS1201",
+            Self::TargetDown { .. } => "CS1202",
+            Self::AgentGone { .. } => "CS1203",
+            Self::HostListFailed { .. } => "CS1204",
+            Self::DatagramRefused { .. } => "CS1205",
+            Self::PeerRefused { .. } => "CS1206",
+            Self::RequestSettled { .. } => "CS1301",
+            Self::LeaseAcquired { .. } => "CS1401",
+            Self::LeaseLost { .. } => "CS1402",
+            Self::OrderPlanned { .. } => "CS1403",
+            Self::OrderNotWritten { .. } => "CS1404",
         }
     }
 }
--- a/components/entry/src/daemon/log.rs
+++ b/components/entry/src/daemon/log.rs
@@ -44,7 +44,7 @@
 
 /// Writes one record.
 pub fn write(logger: &Logger, note: &Note) {
-    let code = format!("CS{}", note.code());
+    let code = note.code();
     match note {
         Note::Started { incarnation } => {
             info!(logger, "entry started"; "code" => code, "incarnation" => hex(*incarnation));
--- /dev/null
+++ b/components/testbed/src/daemon.rs
@@ -0,0 +1,33 @@
+//! Running as one of the daemons.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+/// First argument of a program that is to run as a daemon.
+pub const DAEMON: &str = "daemon";
+
+/// Runs as a daemon if the arguments say so: `daemon entry|agent FILE`.
+#[must_use]
+pub fn run_if_daemon() -> Option<ExitCode> {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, first, kind, file] = arguments.as_slice() else {
+        return None;
+    };
+    if first != DAEMON {
+        return None;
+    }
+    match run(kind, Path::new(file)) {
+        Ok(()) => Some(ExitCode::SUCCESS),
+        Err(report) => {
+            eprintln!("{kind}: {report:#}");
+            Some(ExitCode::FAILURE)
+        }
+    }
+}
+
+fn run(kind: &str, file: &Path) -> eyre::Result<()> {
+    if kind == "entry" {
+        return entry::run(settings::load_entry(file)?);
+    }
+    agent::run(settings::load_agent(file)?)
+}
--- a/examples/chaos/process.rs
+++ b/components/testbed/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -20,14 +21,18 @@
 /// A program with its arguments, and its running process.
 pub struct Process {
     name: String,
-    program: std::path::PathBuf,
+    program: PathBuf,
     arguments: Vec<String>,
-    log: std::path::PathBuf,
+    log: PathBuf,
     child: Option<Child>,
 }
 
 impl Process {
     /// Starts a program; its standard error goes to a log file.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started or the log cannot be written.
     pub fn start(
         name: &str,
         program: &Path,
@@ -46,6 +51,10 @@
     }
 
     /// Starts the program again.
+    ///
+    /// # Errors
+    ///
+    /// As `start`.
     pub fn restart(&mut self) -> eyre::Result<()> {
         let log = File::options()
             .create(true)
@@ -60,7 +69,7 @@
             .spawn()
             .wrap_err_with(|| {
                 format!(
-                    "cannot start {}; run cargo build --release --workspace --locked",
+                    "cannot start {}; the program was moved while it ran",
                     self.program.display()
                 )
             })?;
@@ -69,6 +78,7 @@
     }
 
     /// Name for the log.
+    #[must_use]
     pub fn name(&self) -> &str {
         &self.name
     }
@@ -88,6 +98,12 @@
         }
     }
 
+    /// Id of the process; `None` while it does not run.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Pauses the process.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
--- a/examples/chaos/callers.rs
+++ b/examples/chaos/callers.rs
@@ -20,9 +20,8 @@
 use smol::Timer;
 use standin::engine::answer_text;
 use standin::engine::body_digest;
-
-use crate::world::MODEL_SERVICE;
-use crate::world::PLAIN_SERVICE;
+use testbed::deployment::MODEL_SERVICE;
+use testbed::deployment::PLAIN_SERVICE;
 
 const CALLERS: u64 = 12;
 const SENDS: u32 = 4;
