--- /dev/null
+++ b/benches/path/main.rs
@@ -0,0 +1,169 @@
+//! The whole path against direct calls of the stand-in engine, in the same run.
+//!
+//! Prints one JSON line a measurement. Figures beside targets are absolute and depend on the
+//! machine; the ratios within one run are what counts.
+
+mod load;
+mod usage;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use smol::LocalExecutor;
+use smol::Timer;
+use testbed::Deployment;
+use testbed::Plan;
+use testbed::deployment::MODEL_SERVICE;
+
+use crate::load::Pace;
+use crate::load::Target;
+use crate::usage::Usage;
+
+/// Time of one measurement.
+const MEASURE_MS: Duration = Duration::from_secs(4);
+const CALLERS: usize = 64;
+/// Requests a second for latency, well below saturation, so that queues do not hide the path.
+const PACED_PER_S: f64 = 1000.0;
+/// Streams times tokens a second of a stream give 20,000 events a second.
+const STREAMS: usize = 100;
+const ENGINES: usize = 4;
+
+fn main() -> ExitCode {
+    if let Some(code) = testbed::run_if_daemon() {
+        return code;
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("path: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> eyre::Result<()> {
+    let deployment = Deployment::start(plan(true)).await?;
+    Timer::after(Duration::from_secs(1)).await;
+    let direct = Target {
+        addresses: deployment.engines.clone(),
+        path: "/v1/completions".to_owned(),
+    };
+    let through = through(&deployment);
+    print_memory(&deployment, "idle");
+    paced(&direct, &through).await;
+    saturated(&deployment, &direct, &through).await;
+    print_memory(&deployment, "after load");
+    open_requests(&deployment).await;
+    deployment.stop().await;
+    deployment.clean_up(false);
+
+    let deployment = Deployment::start(plan(false)).await?;
+    streams(&deployment).await;
+    deployment.stop().await;
+    deployment.clean_up(false);
+    Ok(())
+}
+
+fn plan(instant: bool) -> Plan {
+    Plan {
+        engines: ENGINES,
+        entries: 1,
+        instant,
+        forwarder: false,
+        plain_delay_ms: 0,
+    }
+}
+
+fn through(deployment: &Deployment) -> Target {
+    let addresses: Vec<SocketAddr> = deployment.callers();
+    Target {
+        addresses,
+        path: format!("/services/{MODEL_SERVICE}/v1/completions"),
+    }
+}
+
+async fn paced(direct: &Target, through: &Target) {
+    let pace = Pace::PerSecond(PACED_PER_S);
+    let alone = load::measure(direct, CALLERS, pace, MEASURE_MS).await;
+    let path = load::measure(through, CALLERS, pace, MEASURE_MS).await;
+    let added_ms = path.median_ms - alone.median_ms;
+    println!(
+        "{}",
+        json!({"measure": "latency at 1,000 requests/s", "direct_median_ms": alone.median_ms,
+            "path_median_ms": path.median_ms, "added_median_ms": added_ms,
+            "direct_p95_ms": alone.p95_ms, "path_p95_ms": path.p95_ms,
+            "failed": path.failed, "target_added_median_ms": 0.5})
+    );
+}
+
+async fn saturated(deployment: &Deployment, direct: &Target, through: &Target) {
+    let alone = load::measure(direct, CALLERS, Pace::Closed, MEASURE_MS).await;
+    let entry = Usage::of(&deployment.entries.borrow());
+    let agents = Usage::of(&deployment.agents.borrow());
+    let path = load::measure(through, CALLERS, Pace::Closed, MEASURE_MS).await;
+    let entry = Usage::of(&deployment.entries.borrow()).since(&entry);
+    let agents = Usage::of(&deployment.agents.borrow()).since(&agents);
+    let requests = path.per_s * MEASURE_MS.as_secs_f64();
+    println!(
+        "{}",
+        json!({"measure": "throughput with 64 callers", "direct_per_s": alone.per_s,
+            "path_per_s": path.per_s, "ratio": path.per_s / alone.per_s,
+            "direct_median_ms": alone.median_ms, "path_median_ms": path.median_ms,
+            "entry_cores": entry.cpu_s / MEASURE_MS.as_secs_f64(),
+            "entry_us_per_request": entry.cpu_s * 1e6 / requests,
+            "agents_us_per_request": agents.cpu_s * 1e6 / requests,
+            "failed": path.failed, "target_per_s": 8000})
+    );
+}
+
+fn print_memory(deployment: &Deployment, when: &str) {
+    let entry = Usage::of(&deployment.entries.borrow());
+    let agents = Usage::of(&deployment.agents.borrow());
+    println!(
+        "{}",
+        json!({"measure": "resident memory", "when": when, "entry_mb": entry.rss_mb,
+            "agent_mb": agents.rss_mb / f64::from(u32::try_from(ENGINES + 1).unwrap_or(1)),
+            "target_idle_mb": 20})
+    );
+}
+
+/// Memory of requests that wait at slow engines.
+async fn open_requests(deployment: &Deployment) {
+    const OPEN: usize = 500;
+    for engine in &deployment.engines {
+        let faults = json!({"instant": false, "slow": 1000.0});
+        let _: Option<serde_json::Value> =
+            testbed::call(*engine, http_types::Method::Post, "/faults", Some(&faults)).await;
+    }
+    let before = Usage::of(&deployment.entries.borrow());
+    let held = load::hold(&through(deployment), OPEN).await;
+    let after = Usage::of(&deployment.entries.borrow());
+    let open = f64::from(u32::try_from(OPEN).unwrap_or(1));
+    println!(
+        "{}",
+        json!({"measure": "memory of an open request",
+            "entry_kb_per_request": (after.rss_mb - before.rss_mb) * 1024.0 / open,
+            "target_kb": 32})
+    );
+    drop(held);
+}
+
+async fn streams(deployment: &Deployment) {
+    let entry = Usage::of(&deployment.entries.borrow());
+    let agents = Usage::of(&deployment.agents.borrow());
+    let events = load::stream(&through(deployment), STREAMS, MEASURE_MS).await;
+    let entry = Usage::of(&deployment.entries.borrow()).since(&entry);
+    let agents = Usage::of(&deployment.agents.borrow()).since(&agents);
+    let cores = entry.cpu_s / MEASURE_MS.as_secs_f64();
+    println!(
+        "{}",
+        json!({"measure": "relayed stream events", "events_per_s": events,
+            "entry_cores": cores, "entry_cores_at_20000_per_s": cores * 20_000.0 / events,
+            "agents_cores": agents.cpu_s / MEASURE_MS.as_secs_f64(),
+            "target_entry_cores_at_20000_per_s": 0.3})
+    );
+}
