--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -4,12 +4,12 @@
 //! revision. A process with a snapshot does not need the table. One without a snapshot, or
 //! one that knows that it is behind, asks its peers while the table does not answer.
 
+mod behind;
 mod event;
 mod options;
 
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
 use std::time::Instant;
 
 use platform::PlatformError;
@@ -22,6 +22,7 @@
 use types::Incarnation;
 use types::Revision;
 
+pub use behind::Behind;
 pub use event::FollowerAction;
 pub use event::FollowerEvent;
 pub use options::FollowerOptions;
@@ -42,17 +43,6 @@
 /// at twenty times the average rate.
 const RECENT_RECORDS: usize = 4096;
 
-/// How far a follower is behind.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Behind {
-    /// Revision in force here; 0 without a snapshot.
-    pub applied: Revision,
-    /// Latest revision that this process has heard of.
-    pub known: Revision,
-    /// For how long.
-    pub for_ms: Duration,
-}
-
 /// Call under way.
 #[derive(Debug)]
 enum Call {
@@ -77,6 +67,8 @@
     /// The last call failed.
     failing: bool,
     next_poll: Instant,
+    /// When the log was last read because of a hint or a poll.
+    last_log: Option<Instant>,
     next_ask: Instant,
     from_peers: PeerSnapshots,
 }
@@ -97,6 +89,7 @@
             silent_since: None,
             failing: false,
             next_poll: now,
+            last_log: None,
             next_ask: now,
             from_peers: PeerSnapshots::default(),
         }
@@ -170,11 +163,19 @@
         self.known = revision;
         if revision > self.applied() {
             self.behind_since.get_or_insert(now);
-            // Read at once, unless the table is known not to answer.
-            if !self.failing {
-                self.next_poll = now;
-            }
+            self.poll_soon(now);
+        }
+    }
+
+    /// Reads at once, unless the log was read just before or the table is known not to answer.
+    fn poll_soon(&mut self, now: Instant) {
+        if self.failing {
+            return;
         }
+        let due = self
+            .last_log
+            .map_or(now, |at| now.max(at + self.options.hint_gap_ms));
+        self.next_poll = self.next_poll.min(due);
     }
 
     fn next_request(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
@@ -198,6 +199,9 @@
     }
 
     fn start(&mut self, now: Instant, call: Call, actions: &mut Vec<FollowerAction>) {
+        if matches!(call, Call::Log) {
+            self.last_log = Some(now);
+        }
         let request = match &call {
             Call::Head => TableRequest::Read(vec![keys::HEAD.to_owned()]),
             Call::Log => loading::scan_log(self.applied()),
@@ -242,7 +246,7 @@
         let head: Option<Head> = rows.first().map(decode).transpose()?;
         self.heard_of(now, head.unwrap_or_default().revision);
         if self.known > self.applied() {
-            self.next_poll = now;
+            self.poll_soon(now);
         }
         Ok(())
     }
@@ -332,8 +336,8 @@
         self.known = self.known.max(snapshot.revision());
         let is_behind = self.known > snapshot.revision();
         self.behind_since = self.behind_since.or(Some(now)).filter(|_| is_behind);
-        if is_behind && !self.failing {
-            self.next_poll = now;
+        if is_behind {
+            self.poll_soon(now);
         }
         self.from_peers.drop_up_to(snapshot.revision());
         self.snapshot = Some(Rc::clone(&snapshot));
--- a/components/control/tests/follower.rs
+++ b/components/control/tests/follower.rs
@@ -85,6 +85,28 @@
     }
 }
 
+/// Guards against entries that together exceed the table's rate of reads while many changes
+/// are made, for example when many agents register at once.
+#[test]
+fn many_hints_cause_few_reads() {
+    let mut fleet = Fleet::new(World::with_targets(1));
+    fleet.settle(8);
+    let mut reads = 0;
+    for limit in 0..100 {
+        fleet.world.run(change("p", limit)).unwrap();
+        fleet.elapsed += ms(10);
+        let revision = fleet.world.head();
+        fleet.handle(0, FollowerEvent::Hint { revision });
+        reads += fleet.entries[0].calls.len();
+        fleet.execute(0);
+        fleet.deliver(0, 0);
+    }
+    // One read each 200 ms of the second, the first one at once, and one poll.
+    assert!((5..=7).contains(&reads), "{reads} reads");
+    fleet.settle(8);
+    assert_eq!(fleet.entries[0].applied, fleet.world.head());
+}
+
 /// Guards against snapshots and logs that are cut at the size of one page or one frame.
 #[test]
 fn large_configuration_is_read_in_pages_and_given_in_parts() {
