--- a/components/callers/src/port.rs
+++ b/components/callers/src/port.rs
@@ -1,7 +1,6 @@
 //! The callers' port.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,8 +35,9 @@
 /// Handler of callers' requests.
 pub struct CallersPort {
     gateway: Rc<dyn Gateway>,
-    identity: RefCell<CallerIdentity>,
+    identity: CallerIdentity,
     request_limit: Cell<usize>,
+    connection_limits: Cell<ServerLimits>,
     in_flight: Cell<usize>,
 }
 
@@ -77,8 +77,9 @@
     pub fn new(settings: &EntrySettings, gateway: Rc<dyn Gateway>) -> Self {
         Self {
             gateway,
-            identity: RefCell::new(settings.caller_identity.clone()),
+            identity: settings.caller_identity.clone(),
             request_limit: Cell::new(settings.limits.requests),
+            connection_limits: Cell::new(server_limits(&settings.limits)),
             in_flight: Cell::new(0),
         }
     }
@@ -89,9 +90,10 @@
         self.in_flight.get()
     }
 
-    /// Takes over a changed limit of requests in flight.
-    pub fn set_request_limit(&self, limit: usize) {
-        self.request_limit.set(limit);
+    /// Takes over changed limits: that of requests at once, the others for new connections.
+    pub fn set_limits(&self, limits: &Limits) {
+        self.request_limit.set(limits.requests);
+        self.connection_limits.set(server_limits(limits));
     }
 
     async fn answer(&self, request: Request, exchange: &mut Exchange) -> Result<u16, HungUp> {
@@ -110,7 +112,7 @@
             Ok(Route::Service { service, .. }) => match self.gateway.limits(service) {
                 Ok(limits) => {
                     let peer = request.peer;
-                    let caller = identity::name(&self.identity.borrow(), &request.head, peer);
+                    let caller = identity::name(&self.identity, &request.head, peer);
                     match admission::submission(&request.head, request.body, caller, &limits) {
                         Ok(submission) => self.submit(submission, exchange).await,
                         Err(problem) => send(exchange, &problem).await,
@@ -169,6 +171,10 @@
         Ok(limits.body_limit_bytes)
     }
 
+    fn limits(&self) -> Option<ServerLimits> {
+        Some(self.connection_limits.get())
+    }
+
     fn handle<'a>(&'a self, request: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a> {
         if !self.gateway.health().staying {
             // Callers move to another entry before this one closes its listener.
--- a/components/callers/tests/port.rs
+++ b/components/callers/tests/port.rs
@@ -11,9 +11,11 @@
 use common::post;
 use common::refused;
 use common::send_raw;
+use common::with_changeable_port;
 use common::with_port;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use settings::Limits;
 use smol::net::TcpStream;
 use types::Method;
 use types::RefusalReason;
@@ -269,3 +271,38 @@
         );
     });
 }
+
+// Guards against a limit that needs a restart, or that counts finished requests.
+#[test]
+fn takes_over_a_changed_limit_of_requests_in_flight() {
+    let gateway = Rc::new(Scripted {
+        keep_open: true,
+        ..Scripted::default()
+    });
+    let noted = gateway.clone();
+    with_changeable_port(gateway, |addr, port| async move {
+        let open = || async {
+            let mut stream = TcpStream::connect(addr).await.unwrap();
+            let request = post(CHAT, JSON, BODY);
+            stream.write_all(request.as_bytes()).await.unwrap();
+            stream
+        };
+        let first = open().await;
+        while port.in_flight() == 0 {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        port.set_limits(&Limits {
+            requests: 1,
+            ..Limits::default()
+        });
+        let refused = send_raw(addr, &post(CHAT, JSON, BODY)).await;
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        assert!(refused.contains("\"run\":\"not-run\""), "{refused}");
+        drop(first);
+        assert!(called(&noted, "hang up").await);
+        let _second = open().await;
+        while noted.submissions.borrow().len() < 2 {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -47,6 +47,12 @@
     /// The problem to answer with; the connection is closed unless there is no body to come.
     fn admit(&self, head: &http_types::Request) -> Result<u64, Problem>;
 
+    /// Limits for connections accepted from now on, if they differ from those that the server was
+    /// started with.
+    fn limits(&self) -> Option<ServerLimits> {
+        None
+    }
+
     /// Answers a request through the exchange. The connection is closed if it returns without a
     /// whole answer.
     fn handle<'a>(&'a self, request: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a>;
@@ -73,6 +79,7 @@
             Timer::after(ACCEPT_PAUSE_MS).await;
             continue;
         };
+        let limits = handler.limits().unwrap_or(limits);
         if open.get() >= limits.connections {
             executor.spawn(turn_away(stream)).detach();
             continue;
