--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -20,6 +20,7 @@
 use http_types::Body;
 use http_types::Method;
 use http_types::Response;
+use http_types::StatusCode;
 use smol::net::TcpStream;
 
 use crate::error::HungUp;
@@ -155,7 +156,9 @@
     pub fn queue_head(&mut self, mut head: Response) {
         self.mark_close(&mut head);
         let media_type = head.header("content-type").is_some();
-        head.set_body(Body::from_reader(io::empty(), None));
+        let length = has_no_body(&head).then_some(0);
+        self.head_only |= length.is_some();
+        head.set_body(Body::from_reader(io::empty(), length));
         if !media_type {
             head.remove_header("content-type");
         }
@@ -260,6 +263,8 @@
 
 /// Encodes an answer whose body is known.
 pub(crate) fn encode_whole(mut head: Response, body: &[u8], head_only: bool) -> Vec<u8> {
+    let head_only = head_only || has_no_body(&head);
+    let body = if has_no_body(&head) { &[] } else { body };
     let mut bytes = Vec::with_capacity(256 + body.len());
     let media_type = head.header("content-type").is_some();
     head.set_body(Body::from_reader(io::empty(), Some(body.len())));
@@ -273,6 +278,15 @@
     bytes
 }
 
+/// Answers without a body whatever their fields say; a peer would take the bytes of one for the
+/// start of the next answer.
+fn has_no_body(head: &Response) -> bool {
+    matches!(
+        head.status(),
+        StatusCode::NoContent | StatusCode::NotModified
+    )
+}
+
 /// Encodes the head alone, which is what the encoder does for the HEAD method.
 fn encode_head(head: Response, out: &mut Vec<u8>) {
     let mut encoder = Encoder::new(head, Method::Head);
--- a/components/http/tests/common/mod.rs
+++ b/components/http/tests/common/mod.rs
@@ -67,6 +67,11 @@
                     exchange.write(b"half").await
                 }
                 "/none" => Ok(()),
+                "/no-content" => stream(exchange, Response::new(StatusCode::NoContent)).await,
+                "/not-modified" => {
+                    let head = Response::new(StatusCode::NotModified);
+                    exchange.respond(head, b"body").await
+                }
                 _ => exchange.respond(head, &request.body).await,
             };
             if result.is_err() {
--- a/components/http/tests/server.rs
+++ b/components/http/tests/server.rs
@@ -218,3 +218,23 @@
         futures_lite::future::or(lines, closed).await;
     });
 }
+
+// Guards against bytes after an answer without a body, which a peer takes for the next answer.
+#[test]
+fn sends_no_body_where_the_status_allows_none() {
+    with_server(limits(), |server| async move {
+        for path in ["/no-content", "/not-modified"] {
+            let request = format!(
+                "GET {path} HTTP/1.1\r\nHost: a\r\n\r\n\
+                 HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\n\
+                 GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            );
+            let answer = send_raw(server.addr, request.as_bytes()).await;
+            let heads: Vec<&str> = answer.split("\r\n\r\n").collect();
+            assert_eq!(heads.len(), 4, "{answer}");
+            assert!(heads[..3].iter().all(|head| head.starts_with("HTTP/1.1 ")));
+            assert_eq!(heads[3], "");
+            assert!(!heads[0].contains("transfer-encoding"), "{answer}");
+        }
+    });
+}
