--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -36,7 +36,8 @@
     pub role: Role,
     /// The engine is in the middle of a change.
     pub away: bool,
-    /// Number of the last order that the engine obeyed; 0 after an engine restart.
+    /// Number of the last order that the engine obeyed; 0 after a restart of the engine, and for
+    /// engines that do not report it.
     #[serde(default)]
     pub number: u64,
 }
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -506,6 +506,9 @@
                 }));
                 change.repeat(now, step, now + RETRY_MS);
             }
+            // The engine was in this state before, and the order may still be on its way.
+            None if state.number != change.order.number
+                && self.quiet_until.is_some_and(|until| now < until) => {}
             None if change.is_repair => self.change = None,
             None => change.enter(now, Stage::Record),
         }
--- a/components/agent/tests/orders.rs
+++ b/components/agent/tests/orders.rs
@@ -550,6 +550,23 @@
     assert_eq!(world.engine.obeyed.len(), 1);
 }
 
+/// Guards against an order that counts as executed because the engine was in its state before,
+/// while the order itself is still on its way and would cut off the work of the next run.
+#[test]
+fn records_no_order_that_may_still_be_on_its_way() {
+    let mut world = World::new();
+    world.wait(Duration::from_secs(1));
+    world.pass_fault = 254;
+    let adapter = "never-loaded".to_owned();
+    world.give(OrderKind::UnloadAdapter { adapter }, false);
+    world.wait(Duration::from_millis(2300));
+    assert!(world.engine.obeyed.is_empty());
+    assert_eq!(world.target().map(|target| target.applied), Some(0));
+    assert!(world.agent.load().away);
+    world.wait(Duration::from_secs(8));
+    assert_eq!(world.target().map(|target| target.applied), Some(1));
+}
+
 /// Guards against two runs of an agent that both give orders or take work.
 #[test]
 fn ends_when_another_run_takes_the_target() {
