--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -27,6 +27,10 @@
 const CACHE_TRUST_WEIGHT: f64 = 0.1;
 /// Least share of the expected cached tokens that is counted on, so that it can recover.
 const LEAST_CACHE_TRUST: f64 = 0.05;
+/// Weight of the newest answer in the mean of the time taken over the time estimated.
+const CORRECTION_WEIGHT: f64 = 0.05;
+/// Largest time taken over the time estimated that is learned from.
+const LARGEST_CORRECTION: f64 = 8.0;
 /// Shortest time until a request that no target can finish in time is worth a resend.
 const INFEASIBLE_RETRY_MS: f64 = 1_000.0;
 
@@ -52,7 +56,7 @@
         let Some(best) = best else {
             return self.without_candidate(now, need, pool);
         };
-        let finish_ms = best.estimate.total_ms();
+        let finish_ms = best.estimate.total_ms() * self.correction(pool, need.priority);
         let left_ms = need.deadline.saturating_duration_since(now).as_secs_f64() * 1e3;
         if self.settings.mechanisms.feasibility && finish_ms > left_ms {
             let retry_ms = (finish_ms - left_ms).max(INFEASIBLE_RETRY_MS);
@@ -73,6 +77,7 @@
             return;
         };
         let cached = self.cached_tokens(at, need);
+        let estimate_ms = self.ranked(now, need, at).estimate.total_ms();
         let member = &mut self.members[at];
         let size = Size {
             prefill_tokens: (f64::from(need.prompt_tokens) - cached).max(0.0),
@@ -91,6 +96,8 @@
             priority,
             size,
             cached_tokens: cached,
+            dispatched: now,
+            estimate_ms,
             prefixes: need.prefixes.clone(),
             max_output_tokens: need.max_output_tokens,
         };
@@ -115,6 +122,8 @@
         let prefill = &mut member.prefill_by_priority[sent.priority];
         *prefill = (*prefill - sent.size.prefill_tokens).max(0.0);
         member.load.settled(attempt);
+        let pool = member.pool;
+        self.correct(now, pool, &sent, settlement);
         match settlement {
             Settlement::Answered(usage) => self.answered(&sent, usage),
             Settlement::Failed => self.failed(now, sent.member),
@@ -136,7 +145,8 @@
         pool: usize,
         exclude: &[TargetName],
     ) -> Option<Ranked> {
-        let left_ms = need.deadline.saturating_duration_since(now).as_secs_f64() * 1e3;
+        let left_ms = need.deadline.saturating_duration_since(now).as_secs_f64() * 1e3
+            / self.correction(pool, need.priority);
         let mut best = self.best_match(now, need, pool, exclude);
         let mut fitting = best.is_some();
         let mut drawn = 0;
@@ -204,13 +214,21 @@
     ) -> Option<Ranked> {
         let member = &self.members[at];
         let open = member.standing(now, &self.settings) == Standing::Open;
-        let full = member.outstanding >= need.concurrency_limit;
-        if !open || full || !member.fits(&need.needs) || exclude.contains(&member.target.name) {
+        if !open
+            || self.is_full(at, need)
+            || !member.fits(&need.needs)
+            || exclude.contains(&member.target.name)
+        {
             return None;
         }
         Some(self.ranked(now, need, at))
     }
 
+    /// Whether this entry has as many requests of this kind on the target as it may.
+    pub(crate) fn is_full(&self, at: usize, need: &Need) -> bool {
+        self.members[at].outstanding >= need.concurrency_limit
+    }
+
     /// Ranks a member.
     pub(crate) fn ranked(&self, now: Instant, need: &Need, at: usize) -> Ranked {
         let member = &self.members[at];
@@ -233,7 +251,12 @@
             },
         };
         let plain = if mechanisms.estimate {
-            estimate.total_ms()
+            let weight = if mechanisms.work {
+                self.settings.work_weight
+            } else {
+                0.0
+            };
+            estimate.total_ms() + weight * job.work_ms(rates)
         } else {
             load.requests + 1.0
         };
@@ -245,6 +268,32 @@
         }
     }
 
+    /// Factor by which requests of a priority take longer than estimated.
+    fn correction(&self, pool: usize, priority: u8) -> f64 {
+        let at = usize::from(priority).min(PRIORITIES - 1);
+        if self.settings.mechanisms.correction {
+            self.pools[pool].corrections[at].max(1.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// Learns from the end of an attempt. Work that arrives later at a higher priority is not in
+    /// the estimate, so low priorities take longer under load.
+    fn correct(&mut self, now: Instant, pool: usize, sent: &Sent, settlement: Settlement) {
+        let elapsed_ms = now.saturating_duration_since(sent.dispatched).as_secs_f64() * 1e3;
+        let ratio = elapsed_ms / sent.estimate_ms.max(1.0);
+        let correction = &mut self.pools[pool].corrections[sent.priority];
+        let learns = match settlement {
+            Settlement::Answered(_) => true,
+            Settlement::Cancelled => ratio > *correction,
+            Settlement::Rejected | Settlement::Failed => false,
+        };
+        if learns {
+            *correction += CORRECTION_WEIGHT * (ratio.min(LARGEST_CORRECTION) - *correction);
+        }
+    }
+
     fn without_candidate(&self, now: Instant, need: &Need, pool: usize) -> Choice {
         let could = |at: &usize| {
             let member = &self.members[*at];
--- a/components/routing/src/estimate.rs
+++ b/components/routing/src/estimate.rs
@@ -16,6 +16,16 @@
     pub backlog_share: f64,
 }
 
+impl Job {
+    /// Engine time that the job takes on a busy engine in a role.
+    #[must_use]
+    pub fn work_ms(&self, rates: &RoleRates) -> f64 {
+        let prefill_ms = rates.prefill_ms_per_token + rates.step_ms / f64::from(rates.chunk_tokens);
+        let decode_ms = rates.stream_ms + rates.step_ms / f64::from(rates.slots);
+        self.prefill_tokens * prefill_ms + self.decode_tokens * decode_ms
+    }
+}
+
 /// Parts of the estimated time to finish.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Estimate {
--- a/components/routing/src/explain.rs
+++ b/components/routing/src/explain.rs
@@ -42,7 +42,7 @@
                 target: member.target.name.clone(),
                 standing: member.standing(now, &self.settings),
                 fits: member.fits(&need.needs),
-                full: member.outstanding >= need.concurrency_limit,
+                full: self.is_full(*at, need),
                 cached_tokens: ranked.cached_tokens,
                 estimate: ranked.estimate,
                 rank_ms: ranked.rank_ms,
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -23,6 +23,7 @@
 use crate::cache::PrefixIndex;
 use crate::load::Size;
 use crate::member::Member;
+use crate::member::PRIORITIES;
 use crate::member::Standing;
 use crate::settings::Settings;
 
@@ -36,6 +37,8 @@
     /// Members that were open when last looked at; closed ones are removed when met.
     pub open: Vec<usize>,
     pub output_share: f64,
+    /// Time taken over time estimated, by priority.
+    pub corrections: [f64; PRIORITIES],
 }
 
 /// One attempt in flight.
@@ -46,6 +49,8 @@
     pub priority: usize,
     pub size: Size,
     pub cached_tokens: f64,
+    pub dispatched: Instant,
+    pub estimate_ms: f64,
     pub prefixes: Vec<u64>,
     pub max_output_tokens: u32,
 }
@@ -329,6 +334,7 @@
             members: Vec::new(),
             open: Vec::new(),
             output_share: FIRST_OUTPUT_SHARE,
+            corrections: [1.0; PRIORITIES],
         });
         at
     }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -40,6 +40,10 @@
     pub ejection: bool,
     /// Say that a deadline cannot be met instead of dispatching anyway.
     pub feasibility: bool,
+    /// Correct the estimate by how long answers took.
+    pub correction: bool,
+    /// Count the engine time that a request takes from others.
+    pub work: bool,
 }
 
 impl Default for Mechanisms {
@@ -51,6 +55,8 @@
             slow_start: true,
             ejection: true,
             feasibility: true,
+            correction: true,
+            work: true,
         }
     }
 }
@@ -74,6 +80,8 @@
     pub sample_limit: usize,
     /// Time after which the caller of `choose` asks again when every target is full.
     pub retry_ms: Duration,
+    /// Weight of the engine time that a request takes from others, beside its own time to finish.
+    pub work_weight: f64,
     /// Prompt tokens of one cache piece.
     pub piece_tokens: u32,
     /// Most pairs of prefix and target in the prefix-cache index.
@@ -101,6 +109,7 @@
             sample_count: 5,
             sample_limit: 16,
             retry_ms: Duration::from_millis(20),
+            work_weight: 20.0,
             piece_tokens: 2_000,
             index_limit: 1 << 17,
             prefill: RoleRates {
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -87,6 +87,9 @@
     late: usize,
     failed: usize,
     attempts_per_call: f64,
+    cached_share: f64,
+    busy_share: f64,
+    work_answered_s: f64,
     desk_gap_s: u32,
 }
 
@@ -270,6 +273,9 @@
         late: record.count(calls, None, Outcome::Late),
         failed: record.count(calls, None, Outcome::Failed),
         attempts_per_call: record.attempts as f64 / calls.len().max(1) as f64,
+        cached_share: record.cached_tokens as f64 / record.shared_tokens.max(1) as f64,
+        busy_share: record.busy_s / (scenario.engines as f64 * scenario::ARRIVALS.as_secs_f64()),
+        work_answered_s: work,
         desk_gap_s: record.desk_gap_s,
     }
 }
--- a/examples/policy/outcome.rs
+++ b/examples/policy/outcome.rs
@@ -33,6 +33,11 @@
     pub attempts: u64,
     pub resends: u64,
     pub role_changes: u32,
+    /// Shared tokens of answered reads, and how many of them were cached.
+    pub shared_tokens: u64,
+    pub cached_tokens: u64,
+    /// Engine time spent in steps.
+    pub busy_s: f64,
     pub dark_s: u32,
     pub desk_gap_s: u32,
 }
@@ -46,6 +51,9 @@
             attempts: 0,
             resends: 0,
             role_changes: 0,
+            shared_tokens: 0,
+            cached_tokens: 0,
+            busy_s: 0.0,
             dark_s: 0,
             desk_gap_s: 0,
         }
