--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Whether no lease is held and no call about one is under way, after a release.
+    /// Whether no lease is held, after a release.
     pub fn is_released(&self) -> bool {
         self.released
             && self.sweep_lease.is_released()
@@ -62,7 +62,7 @@
 impl EntryCore {
     /// A lease for each model service; plain services need no planning.
     pub(super) fn set_duties(&mut self, now: Instant, snapshot: &Snapshot) {
-        if self.stopping {
+        if self.is_stopping() {
             return;
         }
         let duties = &mut self.duties;
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -74,7 +74,7 @@
     plans_due: Instant,
     next_peer: usize,
     next_tick: Instant,
-    stopping: bool,
+    leaving_since: Option<Instant>,
 }
 
 impl EntryCore {
@@ -103,7 +103,7 @@
             plans_due: now,
             next_peer: 0,
             next_tick: now,
-            stopping: false,
+            leaving_since: None,
             options,
         }
     }
@@ -135,13 +135,19 @@
     /// Whether the entry was told to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping
+        self.leaving_since.is_some()
     }
 
-    /// Whether nothing is left to do.
+    /// Whether nothing is left to do after `Event::Leaving`. Writes that the table does not take
+    /// within the duration of a lease are given up: leases lapse by then, and a claim without
+    /// its outcome leads a resend to the agent that has the answer.
     #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.requests.is_idle() && self.duties.is_released()
+    pub fn is_idle(&self, now: Instant) -> bool {
+        if self.requests.is_idle() && self.duties.is_released() {
+            return true;
+        }
+        let is_overdue = |since| now.saturating_duration_since(since) >= self.options.lease_ms;
+        self.requests.is_served() && self.leaving_since.is_some_and(is_overdue)
     }
 
     /// Requests in flight.
@@ -230,7 +236,7 @@
     }
 
     fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.stopping = true;
+        self.leaving_since = Some(now);
         actions.push(Action::Note(Note::Stopping {
             in_flight: self.requests.open(),
         }));
--- a/components/entry/src/core/planning.rs
+++ b/components/entry/src/core/planning.rs
@@ -28,7 +28,7 @@
 
 impl EntryCore {
     pub(super) fn tick_planning(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now < self.plans_due || self.stopping {
+        if now < self.plans_due || self.is_stopping() {
             return;
         }
         self.plans_due = now + PLAN_MS;
--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -64,7 +64,7 @@
             "incarnation": format!("{:016x}", self.incarnation),
             "revision": self.follower.applied(),
             "behind": behind,
-            "stopping": self.stopping,
+            "stopping": self.is_stopping(),
             "requests_in_flight": self.requests.open(),
             "services": services,
         })
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -290,7 +290,7 @@
     }
 
     async fn drained(&self) {
-        while !self.core.borrow().is_idle() {
+        while !self.core.borrow().is_idle(self.clock.now()) {
             smol::Timer::after(timer::DRAIN_POLL_MS).await;
         }
     }
--- /dev/null
+++ b/components/entry/tests/core.rs
@@ -0,0 +1,325 @@
+//! The composed core against a table in memory.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use control::Command;
+use control::CommandRequest;
+use control::Executor;
+use control::FollowerOptions;
+use entry::core::Action;
+use entry::core::CoreOptions;
+use entry::core::EntryCore;
+use entry::core::Event;
+use entry::core::links::LinkTimes;
+use platform::HostEntry;
+use platform::HostState;
+use platform::MemoryTable;
+use platform::PlatformError;
+use platform::SystemTimer;
+use platform::Table;
+use types::Incarnation;
+use types::LoadReport;
+use types::Loaded;
+use types::Method;
+use types::Profile;
+use types::RefusalReason;
+use types::Reply;
+use types::Role;
+use types::RunState;
+use types::Service;
+use types::ServiceKind;
+use types::Submission;
+use types::SystemClock;
+use types::Target;
+use types::TargetState;
+use types::Work;
+use wire::ToAgent;
+use wire::ToEntry;
+
+const AGENT: Incarnation = 77;
+const TICK: Duration = Duration::from_millis(100);
+
+struct Bench {
+    core: EntryCore,
+    table: Rc<MemoryTable>,
+    is_table_up: bool,
+    now: Instant,
+    link: Option<u64>,
+    replies: Vec<Reply>,
+    sent: Vec<ToAgent>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Instant::now();
+        let options = CoreOptions {
+            name: "entry-1".to_owned(),
+            routing: routing::Settings::new("lago-puelo"),
+            follower: FollowerOptions::default(),
+            links: LinkTimes::default(),
+            probe_ms: Duration::from_millis(500),
+            hosts_poll_ms: Duration::from_secs(2),
+            lease_ms: Duration::from_secs(6),
+            peers: Vec::new(),
+        };
+        Self {
+            core: EntryCore::new(options, 1, now),
+            table: Rc::new(MemoryTable::default()),
+            is_table_up: true,
+            now,
+            link: None,
+            replies: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Feeds an event and carries out all that follows from it at this time.
+    fn feed(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.core.handle(self.now, event) {
+                events.extend(self.carry_out(action));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Table { operation, request } => {
+                let result = if self.is_table_up {
+                    smol::block_on(self.table.call(request))
+                } else {
+                    Err(PlatformError::Unavailable("down".to_owned()))
+                };
+                Some(Event::TableDone { operation, result })
+            }
+            Action::OpenLink { link, target, .. } => {
+                self.link = Some(link);
+                let message = ToEntry::Welcome {
+                    target,
+                    incarnation: AGENT,
+                    load: load(),
+                };
+                Some(Event::LinkMessage { link, message })
+            }
+            Action::Reply { reply, .. } => {
+                self.replies.push(reply);
+                None
+            }
+            Action::Send { message, .. } => {
+                self.sent.push(message);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.feed(Event::Tick);
+            if let Some(link) = self.link {
+                let message = ToEntry::Load(load());
+                self.feed(Event::LinkMessage { link, message });
+            }
+        }
+    }
+
+    fn execute(&self, command: Command) {
+        let table: Rc<dyn Table> = self.table.clone();
+        let executor = Executor::new(table, Rc::new(SystemClock), Rc::new(SystemTimer), 1);
+        let request = CommandRequest {
+            command,
+            reason: "test".to_owned(),
+            if_revision: None,
+            dry_run: false,
+        };
+        smol::block_on(executor.execute("test", &request)).expect("accepted");
+    }
+
+    fn configure(&self) {
+        self.execute(Command::CreateProfile {
+            profile: Profile {
+                name: "desk".to_owned(),
+                ..Profile::default()
+            },
+        });
+        self.execute(Command::SetService {
+            service: Service {
+                name: "mesa".to_owned(),
+                kind: ServiceKind::Model,
+                profile: "desk".to_owned(),
+            },
+        });
+        let table: Rc<dyn Table> = self.table.clone();
+        let executor = Executor::new(table, Rc::new(SystemClock), Rc::new(SystemTimer), 2);
+        let update = control::TargetUpdate::Register(Box::new(target()));
+        let author = control::Author {
+            by: "agent",
+            reason: "test",
+        };
+        smol::block_on(executor.apply(&update, author)).expect("registered");
+    }
+
+    fn submit(&mut self) {
+        let request = self.core.new_request();
+        let submission = Submission {
+            caller: "radio".to_owned(),
+            work: work(),
+            key: None,
+            deadline_ms: None,
+        };
+        self.feed(Event::Submitted {
+            request,
+            submission,
+        });
+    }
+
+    fn dispatches(&self) -> usize {
+        let is_dispatch = |message: &&ToAgent| matches!(message, ToAgent::Dispatch(_));
+        self.sent.iter().filter(is_dispatch).count()
+    }
+
+    fn refusal(&self) -> Option<(RefusalReason, RunState)> {
+        match self.replies.last() {
+            Some(Reply::Refused(refusal)) => Some((refusal.reason, refusal.run)),
+            _ => None,
+        }
+    }
+}
+
+fn work() -> Work {
+    Work {
+        service: "mesa".to_owned(),
+        method: Method::Post,
+        path: "/v1/completions".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+        stream: false,
+        model: String::new(),
+        prompt_tokens: 20,
+        max_output_tokens: 10,
+        prefixes: Vec::new(),
+    }
+}
+
+fn target() -> Target {
+    Target {
+        name: "engine-0".to_owned(),
+        service: "mesa".to_owned(),
+        kind: ServiceKind::Model,
+        place: "lago-puelo".to_owned(),
+        host: "host-0".to_owned(),
+        agent: ([127, 0, 0, 1], 9).into(),
+        incarnation: AGENT,
+        honours_fencing: true,
+        state: TargetState::Active,
+        role: Role::Mixed,
+        loaded: Loaded::default(),
+        applied: 0,
+    }
+}
+
+fn load() -> LoadReport {
+    LoadReport {
+        incarnation: AGENT,
+        sequence: 1,
+        age_ms: 0,
+        running: 0,
+        queued: 0,
+        prefill_backlog_tokens: 0,
+        decode_backlog_tokens: 0,
+        received: 0,
+        cache_used_permille: 0,
+        role: Role::Mixed,
+        loaded: Loaded::default(),
+        applied: 0,
+        leaving: false,
+        away: false,
+    }
+}
+
+/// Guards against a fresh entry that claims to know that a service does not exist.
+#[test]
+fn refuses_as_not_ready_until_it_has_a_configuration() {
+    let mut bench = Bench::new();
+    bench.is_table_up = false;
+    bench.wait(Duration::from_secs(1));
+    bench.submit();
+    let not_ready = (RefusalReason::NotReady, RunState::NotRun);
+    assert_eq!(bench.refusal(), Some(not_ready));
+}
+
+/// Guards against a table outage that stops requests which need no table.
+#[test]
+fn serves_from_the_snapshot_while_the_table_is_down() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(2));
+    bench.is_table_up = false;
+    bench.wait(Duration::from_mins(1));
+    bench.submit();
+    assert_eq!(bench.dispatches(), 1);
+}
+
+/// Guards against new work on a target whose host is leaving, whatever its agent reports.
+#[test]
+fn sends_nothing_to_a_target_on_a_leaving_host() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(2));
+    bench.feed(Event::Hosts(Ok(vec![HostEntry {
+        host: "host-0".to_owned(),
+        state: HostState::Leaving,
+    }])));
+    bench.submit();
+    assert_eq!(bench.dispatches(), 0);
+
+    // A list without the host is no news while its agent answers.
+    bench.feed(Event::Hosts(Ok(Vec::new())));
+    bench.wait(Duration::from_millis(200));
+    assert_eq!(bench.dispatches(), 0);
+
+    bench.feed(Event::Hosts(Ok(vec![HostEntry {
+        host: "host-0".to_owned(),
+        state: HostState::Live,
+    }])));
+    bench.wait(Duration::from_millis(500));
+    assert_eq!(bench.dispatches(), 1);
+}
+
+/// Guards against a stop that leaves leases held or requests cut.
+#[test]
+fn is_idle_after_a_stop_only_when_requests_are_finished_and_leases_given_back() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(8));
+    bench.submit();
+    bench.feed(Event::Leaving);
+    bench.wait(Duration::from_secs(1));
+    assert!(!bench.core.is_idle(bench.now), "one request is in flight");
+    bench.wait(Duration::from_mins(1));
+    assert!(bench.core.is_idle(bench.now));
+    let read = platform::TableRequest::Read(vec![control::keys::lease("mesa")]);
+    let Ok(platform::TableReply::Rows(rows)) = smol::block_on(bench.table.call(read)) else {
+        panic!("the table answers");
+    };
+    let row: control::LeaseRow = control::decode(&rows[0]).expect("a lease row");
+    assert_eq!(row.holder, 0);
+}
+
+/// Guards against a stopping process that waits for good for a table that is down.
+#[test]
+fn becomes_idle_within_the_lease_duration_while_the_table_is_down() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(8));
+    bench.is_table_up = false;
+    bench.feed(Event::Leaving);
+    bench.wait(Duration::from_secs(7));
+    assert!(bench.core.is_idle(bench.now));
+}
--- /dev/null
+++ b/components/entry/tests/probes.rs
@@ -0,0 +1,63 @@
+//! Probes and announcements.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use entry::core::probes::Outgoing;
+use entry::core::probes::Probes;
+use wire::Datagram;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const ENTRY: u64 = 1 << 40;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn sequences(outgoing: &[Outgoing]) -> Vec<u64> {
+    outgoing
+        .iter()
+        .filter_map(|out| match out.datagram {
+            Datagram::Probe { sequence, .. } => Some(sequence),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against replayed or delayed datagrams that make a dead target look alive.
+#[test]
+fn counts_each_answer_once_and_only_of_recent_probes() {
+    let target = "engine-0".to_owned();
+    let mut now = Instant::now();
+    let mut probes = Probes::new(now, ENTRY, INTERVAL, Vec::new());
+    let mut sent = Vec::new();
+    for _ in 0..8 {
+        let outgoing = probes.tick(now, 0, [(&target, address(1))].into_iter());
+        sent.extend(sequences(&outgoing));
+        now += INTERVAL;
+    }
+    assert_eq!(sent.len(), 8);
+    assert!(!probes.answered(&target, sent[0]), "too old");
+    assert!(probes.answered(&target, sent[6]));
+    assert!(!probes.answered(&target, sent[6]), "replayed");
+    assert!(
+        !probes.answered(&target, sent[5]),
+        "older than one answered"
+    );
+    assert!(!probes.answered(&target, sent[7] + 1), "never sent");
+    assert!(!probes.answered("engine-1", sent[7]), "another target");
+    assert!(probes.answered(&target, sent[7]));
+}
+
+/// Guards against configuration that waits for the next poll at the other entries.
+#[test]
+fn announces_a_new_head_at_once_and_an_old_one_at_the_interval() {
+    let now = Instant::now();
+    let mut probes = Probes::new(now, ENTRY, INTERVAL, vec![address(1), address(2)]);
+    let none = || std::iter::empty();
+    assert_eq!(probes.tick(now, 1, none()).len(), 2);
+    assert_eq!(probes.tick(now, 1, none()).len(), 0);
+    assert_eq!(probes.tick(now, 2, none()).len(), 2);
+    assert_eq!(probes.tick(now + INTERVAL, 2, none()).len(), 2);
+}
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -176,6 +176,13 @@
         self.waiting.len()
     }
 
+    /// Whether every request has ended. Outcomes may still have to be written to the table; while
+    /// that is impossible, a resend gets them from the agent.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.runs.is_empty() && self.waiting.is_empty()
+    }
+
     /// Whether nothing is left to do; a stopping process may exit then.
     #[must_use]
     pub fn is_idle(&self) -> bool {
