--- a/components/entry/src/daemon/link.rs
+++ b/components/entry/src/daemon/link.rs
@@ -41,7 +41,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) =
-        establish(stream, End::Opener, daemon.keys(), rand::random()).await?;
+        establish(stream, End::Opener, &daemon.keys(), rand::random()).await?;
     let hello = Hello {
         process: daemon.incarnation(),
         to: target,
--- a/components/entry/src/daemon/listeners.rs
+++ b/components/entry/src/daemon/listeners.rs
@@ -41,6 +41,17 @@
     task: Task<()>,
     /// The operators' port serves until this is dropped.
     _operators: Sender<()>,
+    /// Ports whose limits and tokens can be changed.
+    pub ports: Ports,
+}
+
+/// Ports for callers and operators.
+#[derive(Clone)]
+pub struct Ports {
+    /// Callers' port.
+    pub callers: Rc<CallersPort>,
+    /// Operators' port.
+    pub operators: Rc<OperatorsPort>,
 }
 
 impl Callers {
@@ -84,33 +95,44 @@
     let socket = Rc::new(listeners.datagrams);
     daemon.spawn(receive(daemon.clone(), socket.clone()));
     daemon.spawn(send(socket, outgoing));
-    let operators = start_operators(daemon, listeners.operators);
-    let (stop, task) = start_callers(daemon, listeners.callers);
+    let settings = daemon.settings();
+    let control = Rc::new(EntryControl::new(daemon.clone()));
+    let gateway = Rc::new(EntryGateway::new(daemon.clone()));
+    let ports = Ports {
+        callers: Rc::new(CallersPort::new(&settings, gateway)),
+        operators: Rc::new(OperatorsPort::new(&settings.operators, control)),
+    };
+    let operators = start_operators(daemon, listeners.operators, ports.operators.clone());
+    let (stop, task) = start_callers(daemon, listeners.callers, ports.callers.clone());
     Callers {
         stop,
         task,
         _operators: operators,
+        ports,
     }
 }
 
-fn start_callers(daemon: &Rc<Daemon>, listener: TcpListener) -> (Sender<()>, Task<()>) {
+fn start_callers(
+    daemon: &Rc<Daemon>,
+    listener: TcpListener,
+    port: Rc<CallersPort>,
+) -> (Sender<()>, Task<()>) {
     let (stop, stopped) = async_channel::bounded(1);
-    let gateway = Rc::new(EntryGateway::new(daemon.clone()));
-    let port = Rc::new(CallersPort::new(&daemon.settings, gateway));
-    let serving = daemon.clone();
+    let settings = daemon.settings();
+    let executor = daemon.executor.clone();
     let task = daemon.executor.spawn(async move {
-        let limits = &serving.settings.limits;
-        let executor = serving.executor.clone();
         // The server waits out accept errors and ends only when told to.
-        let _ = callers::serve(listener, limits, port, executor, stopped).await;
+        let _ = callers::serve(listener, &settings.limits, port, executor, stopped).await;
     });
     (stop, task)
 }
 
-fn start_operators(daemon: &Rc<Daemon>, listener: TcpListener) -> Sender<()> {
+fn start_operators(
+    daemon: &Rc<Daemon>,
+    listener: TcpListener,
+    port: Rc<OperatorsPort>,
+) -> Sender<()> {
     let (stop, stopped) = async_channel::bounded(1);
-    let control = Rc::new(EntryControl::new(daemon.clone()));
-    let port = Rc::new(OperatorsPort::new(&daemon.settings.operators, control));
     let executor = daemon.executor.clone();
     daemon.spawn(async move {
         let _ = operators::serve(listener, port, executor, stopped).await;
@@ -125,7 +147,7 @@
             smol::Timer::after(RECEIVE_PAUSE_MS).await;
             continue;
         };
-        match Datagram::decode(&buffer[..bytes], &daemon.keys) {
+        match Datagram::decode(&buffer[..bytes], &daemon.keys()) {
             Ok(datagram) => {
                 if let Datagram::Head { head, .. } = datagram {
                     let now = daemon.clock.now();
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -17,6 +17,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -69,8 +71,9 @@
     core: RefCell<EntryCore>,
     clock: Rc<dyn Clock>,
     executor: Rc<LocalExecutor<'static>>,
-    settings: EntrySettings,
-    keys: Keyring,
+    settings: RefCell<Rc<EntrySettings>>,
+    file: PathBuf,
+    keys: RefCell<Keyring>,
     table: Rc<dyn Table>,
     hosts: Rc<dyn HostList>,
     control: control::Executor,
@@ -86,28 +89,34 @@
     logger: Logger,
 }
 
-/// Serves until the process is asked to stop and everything in flight has finished.
+/// Serves until the process is asked to stop and everything in flight has finished. `file` is
+/// read again on SIGHUP.
 ///
 /// # Errors
 ///
 /// An address is taken, or the settings cannot work.
-pub fn run(settings: EntrySettings) -> eyre::Result<()> {
+pub fn run(settings: EntrySettings, file: &Path) -> eyre::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let serving = serve(settings, executor.clone());
+    let serving = serve(settings, file.to_owned(), executor.clone());
     smol::block_on(executor.run(serving))
 }
 
-async fn serve(settings: EntrySettings, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
+async fn serve(
+    settings: EntrySettings,
+    file: PathBuf,
+    executor: Rc<LocalExecutor<'static>>,
+) -> eyre::Result<()> {
     let listeners = listeners::bind(&settings).await?;
     let (datagrams, outgoing) = async_channel::unbounded();
     let (rearm, rearmed) = async_channel::bounded(1);
-    let daemon = Rc::new(Daemon::new(settings, executor, datagrams, rearm)?);
+    let daemon = Rc::new(Daemon::new(settings, file, executor, datagrams, rearm)?);
     let signals = signals::Stop::listen().wrap_err("cannot listen for signals")?;
     let incarnation = daemon.incarnation();
     daemon.note(&Note::Started { incarnation });
     daemon.spawn(timer::run(daemon.clone(), rearmed));
     let callers = listeners::start(&daemon, listeners, outgoing);
-    let notice_ms = daemon.settings.intervals.balancer_notice_ms;
+    signals::spawn_reload(&daemon, &callers).wrap_err("cannot listen for signals")?;
+    let notice_ms = daemon.settings().intervals.balancer_notice_ms;
     signals
         .wait(notice_ms, || daemon.staying.set(false), &daemon.logger)
         .await;
@@ -121,6 +130,7 @@
 impl Daemon {
     fn new(
         settings: EntrySettings,
+        file: PathBuf,
         executor: Rc<LocalExecutor<'static>>,
         datagrams: Sender<(SocketAddr, Vec<u8>)>,
         rearm: Sender<()>,
@@ -160,8 +170,9 @@
             ),
             clock,
             executor,
-            settings,
-            keys,
+            settings: RefCell::new(Rc::new(settings)),
+            file,
+            keys: RefCell::new(keys),
             table,
             hosts: Rc::new(hosts),
             links: RefCell::default(),
@@ -181,8 +192,12 @@
         self.core.borrow().incarnation()
     }
 
-    pub(crate) fn keys(&self) -> &Keyring {
-        &self.keys
+    pub(crate) fn keys(&self) -> Keyring {
+        self.keys.borrow().clone()
+    }
+
+    pub(crate) fn settings(&self) -> Rc<EntrySettings> {
+        self.settings.borrow().clone()
     }
 
     pub(crate) fn spawn(&self, future: impl Future<Output = ()> + 'static) {
@@ -279,7 +294,7 @@
     }
 
     fn send_datagram(&self, to: SocketAddr, datagram: &Datagram) {
-        match datagram.encode(&self.keys) {
+        match datagram.encode(&self.keys.borrow()) {
             Ok(bytes) => {
                 let _ = self.datagrams.try_send((to, bytes));
             }
--- a/components/entry/src/daemon/operator.rs
+++ b/components/entry/src/daemon/operator.rs
@@ -135,7 +135,7 @@
     where
         I: control::Intent<Error = CommandError>,
     {
-        let by = format!("planner on {}", self.settings.name);
+        let by = format!("planner on {}", self.settings().name);
         let author = Author { by: &by, reason };
         if let Some(change) = self.control.apply(intent, author).await? {
             self.hint(change.revision);
--- a/components/entry/src/daemon/peers.rs
+++ b/components/entry/src/daemon/peers.rs
@@ -46,7 +46,7 @@
 
 async fn serve(daemon: &Rc<Daemon>, stream: TcpStream) -> Result<(), SessionError> {
     let (mut reader, mut writer) =
-        establish(stream, End::Acceptor, &daemon.keys, rand::random()).await?;
+        establish(stream, End::Acceptor, &daemon.keys(), rand::random()).await?;
     let Some(ToPeer::Hello(hello)) = reader.next_message().await? else {
         return Ok(());
     };
@@ -99,7 +99,7 @@
 ) -> Result<(), SessionError> {
     let stream = TcpStream::connect(address).await?;
     let (mut reader, mut writer) =
-        establish(stream, End::Opener, &daemon.keys, rand::random()).await?;
+        establish(stream, End::Opener, &daemon.keys(), rand::random()).await?;
     let hello = Hello {
         process: daemon.incarnation(),
         to: String::new(),
--- a/components/entry/src/daemon/signals.rs
+++ b/components/entry/src/daemon/signals.rs
@@ -1,6 +1,7 @@
 //! Signals that ask the process to stop.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_signal::Signal;
@@ -10,6 +11,12 @@
 use slog::info;
 use smol::Timer;
 
+use crate::core::Note;
+use crate::daemon::Daemon;
+use crate::daemon::listeners::Callers;
+use crate::daemon::listeners::Ports;
+use crate::options;
+
 /// Waits for SIGTERM or SIGINT.
 pub struct Stop {
     signals: Signals,
@@ -43,6 +50,34 @@
     }
 }
 
+/// Reads the settings again on every SIGHUP. Connections that are open keep the key that they
+/// began with; new ones use the new keys.
+pub fn spawn_reload(daemon: &Rc<Daemon>, callers: &Callers) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Hup])?;
+    let (daemon, ports) = (daemon.clone(), callers.ports.clone());
+    daemon.clone().spawn(async move {
+        while signals.next().await.is_some() {
+            let error = reload(&daemon, &ports).err();
+            daemon.note(&Note::SettingsReloaded { error });
+        }
+    });
+    Ok(())
+}
+
+fn reload(daemon: &Daemon, ports: &Ports) -> Result<(), String> {
+    let new = settings::load_entry(&daemon.file).map_err(|error| error.to_string())?;
+    let merged = daemon
+        .settings()
+        .reloaded(&new)
+        .map_err(|fault| format!("{}: {}", fault.field, fault.fix))?;
+    let keys = options::keyring(&merged).ok_or("`keys` is empty")?;
+    ports.callers.set_limits(&merged.limits);
+    ports.operators.set_operators(&merged.operators);
+    daemon.keys.replace(keys);
+    daemon.settings.replace(Rc::new(merged));
+    Ok(())
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -193,6 +193,8 @@
                 "caller_identity",
                 self.caller_identity != new.caller_identity,
             ),
+            ("intervals", self.intervals != new.intervals),
+            ("log", self.log != new.log),
         ];
         match kept.iter().find(|(_, differs)| *differs) {
             Some((field, _)) => Err(Fault {
--- a/components/testbed/src/daemon.rs
+++ b/components/testbed/src/daemon.rs
@@ -27,7 +27,7 @@
 
 fn run(kind: &str, file: &Path) -> eyre::Result<()> {
     if kind == "entry" {
-        return entry::run(settings::load_entry(file)?);
+        return entry::run(settings::load_entry(file)?, file);
     }
     agent::run(settings::load_agent(file)?)
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -231,6 +231,13 @@
 roles() { "$bin" status --json | grep -o '"role": *"decode"' | wc -l; }
 check "role change is in force" 1 "$(roles)"
 
+# A new operator's token, taken over without a restart.
+echo demo-token-of-the-operator-0000000002 >"$work/token2"
+sed -i 's/demo-token-of-the-operator-0000000001/demo-token-of-the-operator-0000000002/' "$work/entry-2.jsonc"
+for index in "${!names[@]}"; do [ "${names[$index]}" != entry-2 ] || kill -HUP "${pids[$index]}"; done
+wait_for "new token is in force at entry 2" "$bin" status --entry "$control2" --token-file "$work/token2"
+check "old token is refused at entry 2" refused "$("$bin" status --entry "$control2" >/dev/null 2>&1 || echo refused)"
+
 echo
 echo "audit trail, newest first:"
 "$bin" audit --limit 12
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -17,7 +17,7 @@
 
 pub(super) fn entry(file: &Path) -> CommandResult {
     let settings = settings::load_entry(file)?;
-    ended(entry::run(settings))
+    ended(entry::run(settings, file))
 }
 
 pub(super) fn agent(file: &Path) -> CommandResult {
