--- /dev/null
+++ b/examples/soak/replies.rs
@@ -0,0 +1,148 @@
+//! What callers make of the replies that reach them.
+
+use fakes::target::answer_to;
+use types::Refusal;
+use types::RefusalReason;
+use types::Reply;
+use types::RequestId;
+use types::RunState;
+
+use crate::callers::CallerEvent;
+use crate::callers::Kind;
+use crate::world::Happening;
+use crate::world::Phase;
+use crate::world::World;
+
+impl World {
+    pub fn reply(&mut self, request: RequestId, reply: Reply) {
+        let Some(sub) = self.subs.get_mut(&request) else {
+            return;
+        };
+        if sub.excused {
+            return;
+        }
+        if sub.finals > 0 {
+            self.violation(format!(
+                "invariant 4: {request:x} gets more after its final reply"
+            ));
+            return;
+        }
+        match reply {
+            Reply::Head { .. } => {
+                let again = std::mem::replace(&mut sub.head, true);
+                if again {
+                    self.violation(format!("invariant 4: {request:x} gets a second head"));
+                }
+            }
+            Reply::Body(bytes) => {
+                let length = bytes.len() as u64;
+                sub.received.extend_from_slice(&bytes);
+                let delay = if self.chance(20) {
+                    self.millis(100, 400)
+                } else {
+                    self.millis(1, 6)
+                };
+                let consume = CallerEvent::Consume(request, length);
+                self.after(delay, Happening::Caller(consume));
+            }
+            Reply::End => {
+                sub.finals += 1;
+                let received = std::mem::take(&mut sub.received);
+                let op = sub.op;
+                self.whole(request, op, &received);
+            }
+            Reply::Refused(refusal) => {
+                sub.finals += 1;
+                sub.received = Vec::new();
+                let (op, head) = (sub.op, sub.head);
+                self.refused(request, op, head, &refusal);
+            }
+        }
+    }
+
+    fn whole(&mut self, request: RequestId, op: usize, received: &[u8]) {
+        self.check("4 whole own answer");
+        let now = self.now();
+        let body = self.ops[op].body.clone();
+        let sampled = body.last().is_some_and(|byte| byte % 2 == 0);
+        let is_own = {
+            let ledger = self.ledger.borrow();
+            let runs = ledger.runs.get(&body);
+            runs.is_some_and(|runs| {
+                runs.iter()
+                    .any(|run| answer_to(&body, *run, sampled) == received)
+            })
+        };
+        if !is_own {
+            let start = String::from_utf8_lossy(&received[..received.len().min(60)]).into_owned();
+            self.violation(format!(
+                "invariant 4: {request:x} ({}) is answered with {} bytes: {start}",
+                String::from_utf8_lossy(&body),
+                received.len()
+            ));
+        }
+        self.count("answers");
+        self.ops[op].answered.get_or_insert(now);
+    }
+
+    fn refused(&mut self, request: RequestId, op: usize, head: bool, refusal: &Refusal) {
+        let kind = self.ops[op].kind;
+        let body = String::from_utf8_lossy(&self.ops[op].body).into_owned();
+        self.note(&format!(
+            "{body} {request:x} refused: {:?} {:?} head {head}: {}",
+            refusal.reason, refusal.run, refusal.detail
+        ));
+        self.count(match refusal.reason {
+            RefusalReason::StoreUnavailable => "refused: store unavailable",
+            RefusalReason::OutcomeUnknown => "refused: outcome unknown",
+            RefusalReason::DeadlineExceeded => "refused: deadline exceeded",
+            RefusalReason::TargetFailed => "refused: target failed",
+            RefusalReason::NoTarget => "refused: no target",
+            RefusalReason::Overloaded => "refused: overloaded",
+            RefusalReason::Leaving => "refused: leaving",
+            RefusalReason::NotReady => "refused: not ready",
+            _ => "refused: other",
+        });
+        if refusal.run == RunState::NotRun {
+            self.check("5 not run");
+            self.not_run.push(request);
+            if self.ledger.borrow().ran.contains_key(&request) {
+                self.violation(format!("invariant 5: {body} {request:x} was run"));
+            }
+        }
+        if kind == Kind::Read && refusal.reason == RefusalReason::OutcomeUnknown {
+            self.violation(format!("{body} {request:x} is idempotent and unknown"));
+        }
+        let cut_off = matches!(
+            refusal.reason,
+            RefusalReason::TargetFailed
+                | RefusalReason::OutcomeUnknown
+                | RefusalReason::DeadlineExceeded
+        );
+        if self.phase <= Phase::Planned && cut_off {
+            self.violation(format!(
+                "invariant 2: {body} {request:x} was cut off without a fault: {refusal:?}"
+            ));
+        }
+        if let Some(wait) = refusal.retry_after_ms
+            && refusal.reason != RefusalReason::OutcomeUnknown
+        {
+            self.resend(op, wait);
+        }
+    }
+
+    /// A target has started a run.
+    pub fn ran(&mut self, body: &[u8]) {
+        if body.starts_with(b"Read") {
+            return;
+        }
+        self.check("6 at most once");
+        let runs = self.ledger.borrow().runs.get(body).map_or(0, Vec::len);
+        if runs > 1 {
+            self.violation(format!(
+                "invariant 6: {} was run {runs} times",
+                String::from_utf8_lossy(body)
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/examples/soak/setup.rs
@@ -0,0 +1,203 @@
+//! The deployment: three entries, six engines and three plain services.
+
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agent::EngineState;
+use control::Command;
+use control::CommandRequest;
+use control::Executor;
+use entry::core::CoreOptions;
+use entry::core::links::LinkTimes;
+use fakes::FakeTarget;
+use fakes::TablePort;
+use fakes::VirtualTimer;
+use platform::BudgetOptions;
+use platform::GuardContext;
+use platform::Guarded;
+use platform::HostState;
+use platform::RateBudget;
+use platform::RetryOptions;
+use types::KeylessPolicy;
+use types::Loaded;
+use types::Profile;
+use types::Role;
+use types::Service;
+use types::ServiceKind;
+
+use crate::agents::AgentHost;
+use crate::entries::EntryHost;
+use crate::world::Node;
+use crate::world::World;
+
+pub const ENTRIES: usize = 3;
+pub const ENGINES: usize = 6;
+pub const PLAIN: usize = 3;
+pub const TARGETS: usize = ENGINES + PLAIN;
+pub const MODEL_SERVICE: &str = "modelos-bitacora";
+pub const PLAIN_SERVICE: &str = "mesa-refugios";
+pub const MODEL_PROFILE: &str = "bitacora";
+pub const PLAIN_PROFILE: &str = "mesa";
+/// Deadline of both profiles.
+pub const DEADLINE_MS: Duration = Duration::from_secs(10);
+
+pub fn entry_address(at: usize) -> SocketAddr {
+    address(0, at)
+}
+
+pub fn agent_address(at: usize) -> SocketAddr {
+    address(1, at)
+}
+
+fn address(net: u8, at: usize) -> SocketAddr {
+    let last = u8::try_from(at).unwrap_or(u8::MAX);
+    SocketAddr::from((Ipv4Addr::new(10, 0, net, last), 7_000))
+}
+
+pub fn node_at(address: SocketAddr) -> Option<Node> {
+    let entry = (0..ENTRIES).find(|at| entry_address(*at) == address);
+    let agent = (0..TARGETS).find(|at| agent_address(*at) == address);
+    entry.map(Node::Entry).or(agent.map(Node::Agent))
+}
+
+pub fn core_options(at: usize) -> CoreOptions {
+    CoreOptions {
+        name: format!("entry-{at}"),
+        routing: routing::Settings::new("bolson-centro"),
+        follower: control::FollowerOptions::default(),
+        links: LinkTimes::default(),
+        probe_ms: Duration::from_millis(500),
+        hosts_poll_ms: Duration::from_secs(1),
+        lease_ms: Duration::from_secs(6),
+        peers: (0..ENTRIES)
+            .filter(|peer| *peer != at)
+            .map(entry_address)
+            .collect(),
+    }
+}
+
+pub fn model_profile() -> Profile {
+    Profile {
+        name: MODEL_PROFILE.to_owned(),
+        model: "m1".to_owned(),
+        version: "1".to_owned(),
+        deadline_ms: DEADLINE_MS,
+        ..Profile::default()
+    }
+}
+
+pub fn plain_profile() -> Profile {
+    Profile {
+        name: PLAIN_PROFILE.to_owned(),
+        deadline_ms: DEADLINE_MS,
+        idempotent: false,
+        keyless: KeylessPolicy::RunOnce,
+        retention_s: Duration::from_mins(30),
+        ..Profile::default()
+    }
+}
+
+impl World {
+    pub fn set_up(&mut self) {
+        self.entries = (0..ENTRIES).map(|_| EntryHost::new()).collect();
+        for at in 0..TARGETS {
+            let agent = self.new_agent_host(at, 0);
+            let now = self.now();
+            self.hosts.set(now, &agent.host, Some(HostState::Live));
+            self.agents.push(agent);
+        }
+        self.configure();
+        for at in 0..TARGETS {
+            self.start_agent(at);
+        }
+        for at in 0..ENTRIES {
+            self.start_entry(at);
+        }
+    }
+
+    pub fn new_agent_host(&mut self, at: usize, generation: u64) -> AgentHost {
+        let is_model = at < ENGINES;
+        let (name, kind, base) = if is_model {
+            let loaded = Loaded {
+                model: "m1".to_owned(),
+                version: "1".to_owned(),
+                adapters: Vec::new(),
+            };
+            let state = EngineState {
+                loaded,
+                role: Role::Mixed,
+                away: false,
+                number: 0,
+            };
+            (format!("engine-{at}"), ServiceKind::Model, state)
+        } else {
+            let state = EngineState::default();
+            (format!("plain-{at}"), ServiceKind::Plain, state)
+        };
+        let honours_fencing = at.is_multiple_of(2);
+        let seed = self.fresh();
+        let target = FakeTarget::new(kind, honours_fencing, base, self.ledger.clone(), seed);
+        AgentHost::new(name, format!("host-{at}-{generation}"), generation, target)
+    }
+
+    /// Guarded table of one process.
+    pub fn guarded(&mut self, cut: Rc<std::cell::Cell<bool>>) -> Rc<Guarded> {
+        let seed = self.fresh();
+        let now = self.now();
+        let context = GuardContext {
+            clock: self.clock.clone(),
+            timer: Rc::new(VirtualTimer(self.tasks.clone())),
+            budget: Rc::new(RateBudget::new(&BudgetOptions::default(), now)),
+        };
+        let options = RetryOptions {
+            give_up_ms: Duration::from_secs(3),
+            ..RetryOptions::default()
+        };
+        let port = TablePort::new(self.table.clone(), cut);
+        Rc::new(Guarded::new(Rc::new(port), options, context, seed))
+    }
+
+    pub fn executor(&mut self, table: Rc<Guarded>) -> Rc<Executor> {
+        let seed = self.fresh();
+        let timer = Rc::new(VirtualTimer(self.tasks.clone()));
+        Rc::new(Executor::new(table, self.clock.clone(), timer, seed))
+    }
+
+    fn configure(&mut self) {
+        let table = self.guarded(Rc::default());
+        let executor = self.executor(table);
+        let service = |name: &str, kind, profile: &str| Command::SetService {
+            service: Service {
+                name: name.to_owned(),
+                kind,
+                profile: profile.to_owned(),
+            },
+        };
+        let mut commands: VecDeque<Command> = VecDeque::from([
+            Command::CreateProfile {
+                profile: model_profile(),
+            },
+            Command::CreateProfile {
+                profile: plain_profile(),
+            },
+            service(MODEL_SERVICE, ServiceKind::Model, MODEL_PROFILE),
+            service(PLAIN_SERVICE, ServiceKind::Plain, PLAIN_PROFILE),
+        ]);
+        self.tasks.spawn(0, async move {
+            while let Some(command) = commands.pop_front() {
+                let request = CommandRequest {
+                    command,
+                    reason: "set up".to_owned(),
+                    if_revision: None,
+                    dry_run: false,
+                };
+                let done = executor.execute("operator", &request).await;
+                assert!(done.is_ok(), "setting up failed: {done:?}");
+            }
+        });
+        self.run_for(Duration::from_secs(1));
+    }
+}
