--- a/examples/soak/entries.rs
+++ b/examples/soak/entries.rs
@@ -160,13 +160,14 @@
     }
 
     fn entry_may_stop(&mut self, at: usize) {
+        let now = self.now();
         let host = &self.entries[at];
         let run = host.incarnation;
         let is_done = host.leaving
             && host
                 .core
                 .as_ref()
-                .is_some_and(|core| core.is_stopping() && core.is_idle());
+                .is_some_and(|core| core.is_stopping() && core.is_idle(now));
         if !is_done {
             return;
         }
