--- a/components/types/src/work.rs
+++ b/components/types/src/work.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
@@ -50,6 +51,7 @@
 }
 
 /// Work for one target; the same for every attempt.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Service addressed.
@@ -61,6 +63,7 @@
     /// Media type of the body; empty without one.
     pub content_type: String,
     /// Body, passed on unchanged.
+    #[serde_as(as = "Bytes")]
     pub body: Vec<u8>,
     /// The caller asked for server-sent events.
     pub stream: bool,
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 use types::AttemptId;
@@ -89,6 +90,7 @@
 }
 
 /// From an entry to an agent.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// Opens the connection.
@@ -100,6 +102,7 @@
         /// Attempt concerned.
         attempt: AttemptId,
         /// Next bytes.
+        #[serde_as(as = "Bytes")]
         bytes: Vec<u8>,
     },
     /// Send the answer again from an offset, on this connection.
@@ -145,6 +148,7 @@
 }
 
 /// From an agent to an entry.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
     /// Answers `Hello`.
@@ -186,6 +190,7 @@
         /// Position of the first byte.
         offset: u64,
         /// Bytes.
+        #[serde_as(as = "Bytes")]
         bytes: Vec<u8>,
     },
     /// The answer is whole.
