--- a/components/control/src/execute.rs
+++ b/components/control/src/execute.rs
@@ -36,8 +36,9 @@
 const PLAN_LIMIT: u32 = 64;
 /// Bound of the pause after a first lost race for `head`; a transaction takes a few ms.
 const PAUSE_FIRST_MS: Duration = Duration::from_millis(5);
-/// Largest bound of a pause between plans.
-const PAUSE_LAST_MS: Duration = Duration::from_millis(200);
+/// Largest bound of a pause between plans. 400 agents that registered at once through a table
+/// with 3 ms of delay made 3,239 tries with this bound and 3,768 with 200 ms.
+const PAUSE_LAST_MS: Duration = Duration::from_secs(1);
 
 /// Clock, delays and randomness of the driver.
 pub struct Executor {
@@ -122,8 +123,9 @@
         let meta = self.meta(author);
         let contested = intent.contested();
         let mut first_seen: Option<RowVersion> = None;
+        let mut rows = RowSet::default();
         for attempt in 0..PLAN_LIMIT {
-            let mut rows = self.read_for(intent).await?;
+            self.read_for(intent, &mut rows).await?;
             if let Some((item, wanted)) = &contested {
                 let version = rows.version(item);
                 if *first_seen.get_or_insert(version) != version {
@@ -146,6 +148,12 @@
                 other => return Err(commit_error(other, meta.token).into()),
             }
             self.pause(attempt).await;
+            // All rows in one call, as late as possible: `head` may have moved in the pause.
+            let keys = rows.keys_to_repeat();
+            rows = RowSet::default();
+            if !keys.is_empty() {
+                self.read_keys(keys, &mut rows).await?;
+            }
         }
         Err(CommandError::Unavailable {
             detail: format!("other changes came first {PLAN_LIMIT} times"),
@@ -169,17 +177,20 @@
         }
     }
 
-    async fn read_for<I: Intent>(&self, intent: &I) -> Result<RowSet, CommandError> {
-        let mut rows = RowSet::default();
+    /// Reads what an intent needs and `rows` lacks.
+    async fn read_for<I: Intent>(&self, intent: &I, rows: &mut RowSet) -> Result<(), CommandError> {
         // `head` is read first: a later change to any row then fails the check on it.
-        self.read_keys(vec![keys::HEAD.to_owned()], &mut rows)
-            .await?;
+        let head = RowsNeeded {
+            keys: vec![keys::HEAD.to_owned()],
+            prefixes: Vec::new(),
+        };
+        let mut needed = rows.missing(head);
         loop {
-            let needed = rows.missing(intent.rows_needed(&rows));
+            self.read(needed, rows).await?;
+            needed = rows.missing(intent.rows_needed(rows));
             if needed.is_empty() {
-                return Ok(rows);
+                return Ok(());
             }
-            self.read(needed, &mut rows).await?;
         }
     }
 
--- a/components/control/src/plan.rs
+++ b/components/control/src/plan.rs
@@ -60,7 +60,8 @@
 pub struct Draft {
     /// What the log says.
     pub body: ChangeBody,
-    /// Conditions beside the one on `head`.
+    /// Conditions beside the one on `head`: one for each row read by its key that the draft
+    /// relies on.
     pub checks: Vec<Check>,
     /// Writes beside `head` and the log record.
     pub puts: Vec<Put>,
--- a/components/control/src/rows.rs
+++ b/components/control/src/rows.rs
@@ -120,6 +120,16 @@
         self.add_rows(rows);
     }
 
+    /// Keys to read again after a conflict. Empty if rows were scanned: their changes are not
+    /// among the checks of a transaction, so `head` must be read before them again.
+    #[must_use]
+    pub fn keys_to_repeat(&self) -> Vec<String> {
+        if self.prefixes.is_empty() {
+            return self.keys.iter().cloned().collect();
+        }
+        Vec::new()
+    }
+
     /// Leaves of `needed` what has not been read.
     #[must_use]
     pub fn missing(&self, needed: RowsNeeded) -> RowsNeeded {
