--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -39,9 +39,9 @@
 use crate::rows::decode;
 use crate::snapshot::Snapshot;
 
-/// Records kept for peers; about ten minutes of changes in the fleet of two years from now,
-/// at twenty times the average rate.
-const RECENT_RECORDS: usize = 4096;
+/// Records kept for peers: 47 minutes of changes at the average rate of the fleet of two years
+/// from now. A peer that lacks more gets a snapshot.
+const RECENT_RECORDS: usize = 1024;
 
 /// Call under way.
 #[derive(Debug)]
--- a/components/control/src/lease.rs
+++ b/components/control/src/lease.rs
@@ -97,6 +97,8 @@
     duration_ms: Duration,
     random: StdRng,
     seen: Option<Seen>,
+    /// The last write has an unknown outcome: the row is read before the next one.
+    in_doubt: bool,
     held: Option<HeldLease>,
     /// When the last successful renewal was sent.
     renewed: Option<Instant>,
@@ -122,6 +124,7 @@
             duration_ms,
             random: StdRng::seed_from_u64(seed),
             seen: None,
+            in_doubt: false,
             held: None,
             renewed: None,
             releasing: false,
@@ -197,7 +200,7 @@
 
     /// Value to write now; `None` if the row must be read first or belongs to another entry.
     fn next_write(&self, now: Instant) -> Option<LeaseRow> {
-        let seen = self.seen?;
+        let seen = self.seen.filter(|_| !self.in_doubt)?;
         let Some(row) = seen.row else {
             return (!self.releasing).then_some(LeaseRow {
                 holder: self.me,
@@ -256,7 +259,7 @@
             (Call::Write(_), Ok(TableReply::Commit(CommitOutcome::Conflict(rows)))) => {
                 self.saw(now, rows.first().filter(|row| row.version != 0), actions);
             }
-            (Call::Write(_), _) => self.seen = None,
+            (Call::Write(_), _) => self.in_doubt = true,
             (Call::Read, _) => {}
         }
     }
@@ -264,6 +267,7 @@
     /// Takes note of the row as it is in the table.
     fn saw(&mut self, now: Instant, row: Option<&Row>, actions: &mut Vec<LeaseAction>) {
         let version = row.map_or(0, |row| row.version);
+        self.in_doubt = false;
         // A row that is not understood is left alone.
         let Ok(value) = row.map(decode::<LeaseRow>).transpose() else {
             return;
@@ -339,7 +343,7 @@
 
     fn forget_call(&mut self) {
         if let Some((_, _, Call::Write(_))) = self.call.take() {
-            self.seen = None;
+            self.in_doubt = true;
         }
     }
 
--- a/components/control/tests/lease.rs
+++ b/components/control/tests/lease.rs
@@ -23,6 +23,7 @@
 use control::LeaseAction;
 use control::LeaseEvent;
 use control::PlannedOrder;
+use platform::CallFault;
 use platform::Table;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -305,6 +306,29 @@
     assert_eq!(held.fencing, 2);
 }
 
+/// Guards against an entry that watches the row for a second whole duration because its first
+/// try to take the lease failed.
+#[test]
+fn failed_try_does_not_restart_the_wait() {
+    let mut fleet = Fleet::new();
+    let drive = |fleet: &mut Fleet, index: usize| {
+        fleet.elapsed += DURATION_MS / 3;
+        fleet.handle(index, LeaseEvent::Tick);
+        while !fleet.entries[index].replies.is_empty() {
+            fleet.deliver(index);
+        }
+    };
+    drive(&mut fleet, 0);
+    for _ in 0..3 {
+        drive(&mut fleet, 1);
+    }
+    fleet.world.table.script([CallFault::LostRequest]);
+    for _ in 0..3 {
+        drive(&mut fleet, 1);
+    }
+    assert!(fleet.entries[1].lease.held(fleet.now()).is_some());
+}
+
 /// Guards against a holder that plans on a lease that others may be about to take.
 #[test]
 fn holder_stops_planning_when_its_renewal_is_old() {
