--- a/components/agent/src/daemon/engine.rs
+++ b/components/agent/src/daemon/engine.rs
@@ -8,6 +8,7 @@
 use http::ClientLimits;
 use http::WholeResponse;
 use http_types::Method;
+use http_types::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -104,10 +105,12 @@
                     response.status,
                     String::from_utf8_lossy(&response.body)
                 );
-                if response.status == http_types::StatusCode::Conflict {
-                    OrderOutcome::Fenced(detail)
-                } else {
-                    OrderOutcome::Refused(detail)
+                match response.status {
+                    StatusCode::Conflict => OrderOutcome::Fenced(detail),
+                    StatusCode::ServiceUnavailable => OrderOutcome::Refused(detail),
+                    // An engine that fails may have begun the change.
+                    status if status.is_server_error() => OrderOutcome::Unanswered(detail),
+                    _ => OrderOutcome::Refused(detail),
                 }
             }
             Err(error) if error.was_sent() => OrderOutcome::Unanswered(error.to_string()),
--- a/components/agent/src/daemon/log.rs
+++ b/components/agent/src/daemon/log.rs
@@ -51,9 +51,11 @@
             warn!(logger, "engine is not in the ordered state";
                 "code" => code, "number" => number);
         }
-        Note::EngineAway { away, detail } => {
-            warn!(logger, "engine availability changed";
-                "code" => code, "away" => away, "detail" => detail);
+        Note::EngineAway { away: true, detail } => {
+            warn!(logger, "engine does not answer"; "code" => code, "detail" => detail);
+        }
+        Note::EngineAway { away: false, .. } => {
+            info!(logger, "engine answers"; "code" => code);
         }
         Note::RunFailed {
             attempt,
--- a/components/standin/src/answers.rs
+++ b/components/standin/src/answers.rs
@@ -33,6 +33,14 @@
         .await;
 }
 
+/// Ends the connection without a byte of an answer, as a crash does. The server answers requests
+/// that a handler leaves alone, so the head of an answer is begun and never sent.
+pub fn hang_up(exchange: &mut Exchange) {
+    if !exchange.is_started() {
+        exchange.queue_head(head(500, "text/plain"));
+    }
+}
+
 /// Value of a field of a request.
 #[must_use]
 pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
--- a/components/standin/src/engine/completions.rs
+++ b/components/standin/src/engine/completions.rs
@@ -136,8 +136,11 @@
     }
     let priority = parse_priority(answers::header(request, "x-priority"));
     let (mut run, plan) = begin(core, request, &body, chat);
-    // A run that ends early closes the connection, which shows that the answer is incomplete.
-    let _ = answer(&mut run, &plan, prefill, priority, body.stream, exchange).await;
+    let end = answer(&mut run, &plan, prefill, priority, body.stream, exchange).await;
+    if matches!(end, Err(Stopped::Ended)) {
+        // The caller sees that the answer is incomplete.
+        answers::hang_up(exchange);
+    }
 }
 
 fn begin(
--- a/components/standin/src/plain.rs
+++ b/components/standin/src/plain.rs
@@ -168,7 +168,7 @@
             (take(&mut faults.lose_answers), take(&mut faults.fail))
         };
         if is_lost {
-            return;
+            return answers::hang_up(exchange);
         }
         let status = if fails { 500 } else { 200 };
         answers::send(exchange, status, &receipt(path, &request.body)).await;
