--- a/components/request/src/batch.rs
+++ b/components/request/src/batch.rs
@@ -26,6 +26,9 @@
 
 /// Time that a write waits for others.
 const BATCH_MS: Duration = Duration::from_millis(5);
+/// Least time between two transactions that are not full. 20 a second leave half of a process's
+/// write budget to changes, leases and retries.
+const SPACING_MS: Duration = Duration::from_millis(50);
 /// Writes in one transaction.
 const BATCH_LIMIT: usize = 32;
 /// Stored answers in one transaction; an outage would make one of 32 large answers fail as a
@@ -83,6 +86,7 @@
     pending: Vec<Write>,
     pending_bytes: usize,
     flush_at: Option<Instant>,
+    flushed_at: Option<Instant>,
     in_flight: HashMap<u64, InFlight>,
     epoch: u64,
     epoch_version: RowVersion,
@@ -100,7 +104,8 @@
         self.pending_bytes += write.row.answer.as_ref().map_or(0, |a| a.body.len());
         self.pending.push(write);
         let full = self.pending.len() >= BATCH_LIMIT || self.pending_bytes >= BATCH_LIMIT_BYTES;
-        let at = self.flush_at.unwrap_or(now + BATCH_MS);
+        let spaced = self.flushed_at.map_or(now, |at| at + SPACING_MS);
+        let at = self.flush_at.unwrap_or(spaced.max(now + BATCH_MS));
         let at = if full { now } else { at };
         self.flush_at = Some(at);
         at
@@ -111,6 +116,7 @@
         if self.flush_at.is_none_or(|at| at > now) {
             return None;
         }
+        self.flushed_at = Some(now);
         let rest = self.pending.split_off(self.pending.len().min(BATCH_LIMIT));
         let writes = std::mem::replace(&mut self.pending, rest);
         self.pending_bytes = 0;
--- /dev/null
+++ b/components/request/tests/batches.rs
@@ -0,0 +1,64 @@
+//! Batches of claim writes.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use quickcheck::QuickCheck;
+use request::batch::Batches;
+use request::batch::Purpose;
+use request::batch::Write;
+use request::claim::ClaimRow;
+use request::claim::ClaimState;
+
+fn write(number: u64) -> Write {
+    Write {
+        key: format!("claim/{number}"),
+        version: 0,
+        row: ClaimRow {
+            digest: String::new(),
+            owner: 1,
+            request: u128::from(number),
+            attempt: 1,
+            target: "ordenes-0".to_owned(),
+            incarnation: 1,
+            state: ClaimState::Taken,
+            answer: None,
+            token: u128::from(number),
+            expires_epoch: 0,
+        },
+        epochs_kept: 1,
+        purpose: Purpose::Take(u128::from(number)),
+    }
+}
+
+/// Guards against a burst of small transactions that uses up the table's writes. The design
+/// allows one every 50 ms unless a batch is full.
+#[test]
+fn spaces_transactions_that_are_not_full() {
+    fn property(gaps_ms: Vec<u8>) -> bool {
+        let mut now = Instant::now();
+        let mut batches = Batches::default();
+        let mut flushes: Vec<Instant> = Vec::new();
+        let mut due = None;
+        for (gap_ms, number) in gaps_ms.into_iter().zip(1..) {
+            let next = now + Duration::from_millis(u64::from(gap_ms) % 30);
+            while now < next {
+                now += Duration::from_millis(1);
+                let is_due = due.is_some_and(|at| at <= now);
+                if is_due
+                    && batches
+                        .flush(now, number + 1000 * flushes.len() as u64)
+                        .is_some()
+                {
+                    flushes.push(now);
+                    due = None;
+                }
+            }
+            due = Some(batches.push(now, write(number)));
+        }
+        flushes
+            .windows(2)
+            .all(|pair| pair[1] - pair[0] >= Duration::from_millis(50))
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<u8>) -> bool);
+}
