--- a/components/entry/src/core/configuration.rs
+++ b/components/entry/src/core/configuration.rs
@@ -10,7 +10,6 @@
 use platform::HostState;
 use platform::PlatformError;
 use request::Terms;
-use types::TargetState;
 use wire::ToAgent;
 
 use crate::core::Action;
@@ -88,18 +87,18 @@
         snapshot: &Snapshot,
         actions: &mut Vec<Action>,
     ) {
-        let mut links = Vec::new();
         for (name, target) in snapshot.targets() {
             let old = before.and_then(|before| before.target(name));
             if old.is_some_and(|old| Rc::ptr_eq(old, target)) {
                 continue;
             }
-            let target = &target.value;
-            self.router.target_set(now, target);
-            if target.state == TargetState::Withdrawn {
-                continue;
+            self.shares.set(&target.value);
+            if self.shares.contains(name) {
+                self.router.target_set(now, &target.value);
+            }
+            if self.shares.contains(name) || self.outside.contains_key(name) {
+                self.connect(now, snapshot, name, actions);
             }
-            links.extend(self.links.set(now, name, target.agent, target.incarnation));
         }
         let gone: Vec<_> = before
             .into_iter()
@@ -109,10 +108,13 @@
             .cloned()
             .collect();
         for name in gone {
+            self.shares.remove(&name);
+            self.outside.remove(&name);
             self.router.target_removed(&name);
-            links.extend(self.links.remove(now, &name));
+            let links = self.links.remove(now, &name);
+            self.carry_out_links(now, links, actions);
         }
-        self.carry_out_links(now, links, actions);
+        self.refresh_share(now, actions);
     }
 
     fn send_order_hints(
--- a/components/entry/src/core/links.rs
+++ b/components/entry/src/core/links.rs
@@ -180,6 +180,13 @@
         actions
     }
 
+    /// Forgets a target whose agent goes on running.
+    pub fn release(&mut self, now: Instant, target: &TargetName) -> Vec<LinkAction> {
+        let mut actions = self.remove(now, target);
+        actions.retain(|action| !matches!(action, LinkAction::IncarnationGone { .. }));
+        actions
+    }
+
     /// The agent answered `Hello` on a connection.
     pub fn welcomed(
         &mut self,
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -16,6 +16,8 @@
 pub mod probes;
 mod report;
 mod router;
+pub mod share;
+mod sharing;
 mod traffic;
 
 use std::collections::BTreeMap;
@@ -33,6 +35,7 @@
 use types::Incarnation;
 use types::RequestId;
 use types::ServiceName;
+use types::TargetName;
 use types::request_id;
 
 pub use event::Action;
@@ -48,6 +51,7 @@
 use crate::core::planning::Plan;
 use crate::core::probes::Probes;
 use crate::core::router::PlanningRouter;
+use crate::core::share::Shares;
 
 /// Longest time between two ticks; bounds how late silence and probes are noticed.
 const TICK_MS: Duration = Duration::from_millis(50);
@@ -63,6 +67,10 @@
     router: PlanningRouter,
     requests: Requests,
     links: Links,
+    shares: Shares,
+    shares_due: Instant,
+    /// Connected targets outside the share, with the time until which they are kept.
+    outside: BTreeMap<TargetName, Instant>,
     probes: Probes,
     duties: Duties,
     operations: Operations,
@@ -92,6 +100,9 @@
             router: PlanningRouter::new(options.routing.clone(), seed),
             requests: Requests::new(incarnation, seed),
             links: Links::new(options.links),
+            shares: Shares::new(options.share_targets, options.address, &peers),
+            shares_due: now,
+            outside: BTreeMap::new(),
             probes: Probes::new(now, incarnation, options.probe_ms, peers),
             duties: Duties::new(incarnation, &options, now),
             operations: Operations::default(),
@@ -232,6 +243,7 @@
             actions.push(Action::ReadHosts);
         }
         self.tick_duties(now, actions);
+        self.tick_share(now, actions);
         self.tick_planning(now, actions);
     }
 
--- a/components/entry/src/core/options.rs
+++ b/components/entry/src/core/options.rs
@@ -18,6 +18,8 @@
     pub follower: FollowerOptions,
     /// Times of the connections.
     pub links: LinkTimes,
+    /// Targets of a service that the entry uses.
+    pub share_targets: usize,
     /// Between two probes of a target.
     pub probe_ms: Duration,
     /// Between two reads of the host list.
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -12,6 +12,7 @@
 use types::RunState;
 use types::Submission;
 use wire::Datagram;
+use wire::ToAgent;
 use wire::ToEntry;
 
 use crate::core::Action;
@@ -76,6 +77,8 @@
                 request::Action::Send { target, message } => {
                     if let Some(link) = self.links.link(&target) {
                         actions.push(Action::Send { link, message });
+                    } else if is_about_claim(&message) {
+                        self.connect_outside(now, &target, actions);
                     }
                 }
                 request::Action::Table { operation, request } => {
@@ -240,3 +243,8 @@
         self.router.load_report(now, target, load);
     }
 }
+
+/// Whether a message may concern a target that another entry chose.
+fn is_about_claim(message: &ToAgent) -> bool {
+    matches!(message, ToAgent::Forbid { .. } | ToAgent::Resume { .. })
+}
--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -22,6 +22,7 @@
             ..FollowerOptions::default()
         },
         links: LinkTimes::default(),
+        share_targets: settings.share.targets,
         probe_ms: settings.intervals.probe_ms,
         hosts_poll_ms: settings.intervals.hosts_poll_ms,
         lease_ms: settings.intervals.lease_ms,
--- a/components/entry/tests/core.rs
+++ b/components/entry/tests/core.rs
@@ -60,6 +60,7 @@
             routing: routing::Settings::new("lago-puelo"),
             follower: FollowerOptions::default(),
             links: LinkTimes::default(),
+            share_targets: 64,
             probe_ms: Duration::from_millis(500),
             hosts_poll_ms: Duration::from_secs(2),
             lease_ms: Duration::from_secs(6),
--- /dev/null
+++ b/components/entry/tests/sharing.rs
@@ -0,0 +1,306 @@
+//! Entries that use a share of the targets, against a table in memory.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use control::FollowerOptions;
+use control::Head;
+use control::LeaseRow;
+use control::Versioned;
+use control::keys;
+use entry::core::Action;
+use entry::core::CoreOptions;
+use entry::core::EntryCore;
+use entry::core::Event;
+use entry::core::links::LinkId;
+use entry::core::links::LinkTimes;
+use platform::Put;
+use platform::Rows;
+use platform::TableRequest;
+use platform::Transaction;
+use serde::Serialize;
+use types::LoadReport;
+use types::Loaded;
+use types::Method;
+use types::Profile;
+use types::RequestId;
+use types::Role;
+use types::Service;
+use types::ServiceKind;
+use types::Submission;
+use types::Target;
+use types::TargetName;
+use types::TargetState;
+use types::Work;
+use wire::ToAgent;
+use wire::ToEntry;
+
+const ENTRIES: u16 = 20;
+const TARGETS: u16 = 40;
+const TICK: Duration = Duration::from_millis(100);
+
+struct Entry {
+    core: EntryCore,
+    links: BTreeMap<LinkId, TargetName>,
+    sent: Vec<(TargetName, ToAgent)>,
+}
+
+impl Entry {
+    fn new(at: u16, now: Instant) -> Self {
+        let options = CoreOptions {
+            name: format!("entry-{at}"),
+            routing: routing::Settings::new("lago-puelo"),
+            follower: FollowerOptions::default(),
+            links: LinkTimes::default(),
+            share_targets: 2,
+            probe_ms: Duration::from_millis(500),
+            hosts_poll_ms: Duration::from_secs(2),
+            lease_ms: Duration::from_secs(6),
+            address: address(at),
+            peers: (0..ENTRIES)
+                .filter(|peer| *peer != at)
+                .map(address)
+                .collect(),
+        };
+        Self {
+            core: EntryCore::new(options, u64::from(at) + 1, now),
+            links: BTreeMap::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    fn feed(&mut self, rows: &mut Rows, now: Instant, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.core.handle(now, event) {
+                match action {
+                    Action::Table { operation, request } => {
+                        let result = Ok(rows.apply(&request));
+                        events.push_back(Event::TableDone { operation, result });
+                    }
+                    Action::OpenLink { link, target, .. } => {
+                        self.links.insert(link, target.clone());
+                        let message = ToEntry::Welcome {
+                            target,
+                            incarnation: 1,
+                            load: load(),
+                        };
+                        events.push_back(Event::LinkMessage { link, message });
+                    }
+                    Action::CloseLink { link } => {
+                        self.links.remove(&link);
+                    }
+                    Action::Send { link, message } => {
+                        self.sent.push((self.links[&link].clone(), message));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Lets time pass, in which all agents send load reports.
+    fn wait(&mut self, rows: &mut Rows, now: &mut Instant, time: Duration) {
+        let end = *now + time;
+        while *now < end {
+            *now += TICK;
+            self.feed(rows, *now, Event::Tick);
+            let links: Vec<LinkId> = self.links.keys().copied().collect();
+            for link in links {
+                let message = ToEntry::Load(load());
+                self.feed(rows, *now, Event::LinkMessage { link, message });
+            }
+        }
+    }
+
+    fn submit(&mut self, rows: &mut Rows, now: Instant, key: Option<&str>) -> RequestId {
+        let request = self.core.new_request();
+        let submission = Submission {
+            caller: "radio".to_owned(),
+            work: work(),
+            key: key.map(str::to_owned),
+            deadline_ms: None,
+        };
+        let event = Event::Submitted {
+            request,
+            submission,
+        };
+        self.feed(rows, now, event);
+        request
+    }
+
+    fn connected(&self) -> BTreeSet<TargetName> {
+        self.links.values().cloned().collect()
+    }
+
+    fn targets_of(&self, is_wanted: fn(&ToAgent) -> bool) -> BTreeSet<TargetName> {
+        let sent = self.sent.iter().filter(|(_, message)| is_wanted(message));
+        sent.map(|(target, _)| target.clone()).collect()
+    }
+}
+
+fn is_dispatch(message: &ToAgent) -> bool {
+    matches!(message, ToAgent::Dispatch(_))
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn work() -> Work {
+    Work {
+        service: "mesa".to_owned(),
+        method: Method::Post,
+        path: "/v1/completions".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+        stream: false,
+        model: String::new(),
+        prompt_tokens: 20,
+        max_output_tokens: 10,
+        prefixes: Vec::new(),
+    }
+}
+
+fn load() -> LoadReport {
+    LoadReport {
+        incarnation: 1,
+        sequence: 1,
+        age_ms: 0,
+        running: 0,
+        queued: 0,
+        prefill_backlog_tokens: 0,
+        decode_backlog_tokens: 0,
+        received: 0,
+        cache_used_permille: 0,
+        role: Role::Mixed,
+        loaded: Loaded::default(),
+        applied: 0,
+        leaving: false,
+        away: false,
+    }
+}
+
+fn put(rows: &mut Rows, key: String, value: &impl Serialize) {
+    rows.apply(&TableRequest::Commit(Transaction {
+        checks: Vec::new(),
+        puts: vec![Put {
+            key: key.clone(),
+            value: Some(serde_json::to_string(value).expect("serialises")),
+        }],
+        proof: key,
+    }));
+}
+
+fn table(is_idempotent: bool) -> Rows {
+    fn versioned<T>(value: T) -> Versioned<T> {
+        Versioned { revision: 1, value }
+    }
+    let mut rows = Rows::default();
+    let profile = Profile {
+        name: "desk".to_owned(),
+        idempotent: is_idempotent,
+        ..Profile::default()
+    };
+    let service = Service {
+        name: "mesa".to_owned(),
+        kind: ServiceKind::Model,
+        profile: "desk".to_owned(),
+    };
+    put(&mut rows, keys::profile("desk"), &versioned(profile));
+    put(&mut rows, keys::service("mesa"), &versioned(service));
+    for index in 0..TARGETS {
+        let target = Target {
+            name: format!("engine-{index}"),
+            service: "mesa".to_owned(),
+            kind: ServiceKind::Model,
+            place: "lago-puelo".to_owned(),
+            host: format!("host-{index}"),
+            agent: address(1000 + index),
+            incarnation: 1,
+            honours_fencing: true,
+            state: TargetState::Active,
+            role: Role::Mixed,
+            loaded: Loaded::default(),
+            applied: 0,
+        };
+        put(&mut rows, keys::target(&target.name), &versioned(target));
+    }
+    put(&mut rows, keys::HEAD.to_owned(), &Head { revision: 1 });
+    rows
+}
+
+fn write_lease(rows: &mut Rows, renewal: u64) {
+    let row = LeaseRow {
+        holder: u64::MAX,
+        fencing: 100,
+        renewal,
+    };
+    put(rows, keys::lease("mesa"), &row);
+}
+
+/// Guards against requests that are cut off because their target leaves the share.
+#[test]
+fn keeps_connections_with_requests_in_flight_when_the_share_shrinks() {
+    let mut now = Instant::now();
+    let mut rows = table(true);
+    let mut entry = Entry::new(0, now);
+    entry.wait(&mut rows, &mut now, Duration::from_mins(2));
+    assert_eq!(entry.connected().len(), 40, "the planner uses all targets");
+    let requests: Vec<_> = (0..8).map(|_| entry.submit(&mut rows, now, None)).collect();
+    let dispatched = entry.targets_of(is_dispatch);
+    assert!(dispatched.len() > 4);
+
+    write_lease(&mut rows, 1);
+    entry.wait(&mut rows, &mut now, Duration::from_secs(5));
+    assert!(entry.connected().is_superset(&dispatched));
+    assert!(entry.connected().len() < 25);
+    let is_cancel = |message: &ToAgent| matches!(message, ToAgent::Cancel { .. });
+    assert!(entry.targets_of(is_cancel).is_empty());
+
+    let busy = entry.connected().len();
+    for request in requests {
+        entry.feed(&mut rows, now, Event::CallerGone { request });
+    }
+    entry.wait(&mut rows, &mut now, Duration::from_secs(2));
+    assert!(entry.connected().len() < busy);
+}
+
+/// Guards against a resend whose outcome is called unknown because its claim names a target
+/// that is in the share of another entry only.
+#[test]
+fn asks_a_target_outside_the_share_about_a_claim() {
+    let mut now = Instant::now();
+    let mut rows = table(false);
+    write_lease(&mut rows, 1);
+    let mut first = Entry::new(0, now);
+    first.wait(&mut rows, &mut now, Duration::from_secs(2));
+    first.submit(&mut rows, now, Some("order-1"));
+    first.wait(&mut rows, &mut now, Duration::from_secs(1));
+    let dispatched = first.targets_of(is_dispatch);
+    assert_eq!(dispatched.len(), 1);
+
+    let mut others = (1..ENTRIES).map(|at| {
+        let mut entry = Entry::new(at, now);
+        entry.wait(&mut rows.clone(), &mut now.clone(), Duration::from_secs(2));
+        entry
+    });
+    let mut second = others
+        .find(|entry| entry.connected().is_disjoint(&dispatched))
+        .expect("a target is in few shares");
+    now += Duration::from_secs(2);
+    second.submit(&mut rows, now, Some("order-1"));
+    second.wait(&mut rows, &mut now, Duration::from_secs(1));
+    let is_forbid = |message: &ToAgent| matches!(message, ToAgent::Forbid { .. });
+    assert_eq!(second.targets_of(is_forbid), dispatched);
+    for renewal in 2..17 {
+        // Without renewals this entry would take the lease and use all targets.
+        write_lease(&mut rows, renewal);
+        second.wait(&mut rows, &mut now, Duration::from_secs(1));
+    }
+    assert!(second.connected().is_disjoint(&dispatched));
+}
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -121,6 +121,18 @@
         }
     }
 
+    /// Targets that attempts, claims being written or questions about claims refer to.
+    #[must_use]
+    pub fn targets_in_use(&self) -> BTreeSet<TargetName> {
+        let of = |run: &Run| match (&run.attempt, &run.phase) {
+            (Some(attempt), _) => Some(attempt.target.clone()),
+            (None, Phase::Claiming(target, _)) => Some(target.clone()),
+            (None, Phase::Enquiring(row)) => Some(row.target.clone()),
+            (None, _) => None,
+        };
+        self.runs.values().filter_map(of).collect()
+    }
+
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event, router: &mut dyn Router) -> Vec<Action> {
         let mut context = Context {
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -60,6 +60,9 @@
     /// Limits of callers' connections.
     #[serde(default)]
     pub limits: Limits,
+    /// Share of the targets that the entry uses.
+    #[serde(default)]
+    pub share: Share,
     /// Intervals.
     #[serde(default)]
     pub intervals: Intervals,
@@ -108,6 +111,14 @@
     }
 }
 
+section! {
+    /// Share of the targets that an entry uses.
+    Share {
+        /// Targets of each service.
+        targets: usize = 64,
+    }
+}
+
 section! {
     /// Intervals of an entry.
     Intervals {
@@ -150,6 +161,7 @@
         validate_keys(&self.keys)?;
         validate_operators(&self.operators)?;
         self.limits.validate()?;
+        first_fault(&[(self.share.targets >= 8, "share.targets", "use at least 8")])?;
         self.intervals.validate()
     }
 
@@ -193,6 +205,7 @@
                 "caller_identity",
                 self.caller_identity != new.caller_identity,
             ),
+            ("share", self.share != new.share),
             ("intervals", self.intervals != new.intervals),
             ("log", self.log != new.log),
         ];
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -21,6 +21,7 @@
 pub use entry::EntrySettings;
 pub use entry::Intervals;
 pub use entry::Limits;
+pub use entry::Share;
 pub use load::Loaded;
 pub use load::SettingsError;
 pub use load::load;
--- a/examples/soak/setup.rs
+++ b/examples/soak/setup.rs
@@ -69,6 +69,7 @@
         routing: routing::Settings::new("bolson-centro"),
         follower: control::FollowerOptions::default(),
         links: LinkTimes::default(),
+        share_targets: 64,
         probe_ms: Duration::from_millis(500),
         hosts_poll_ms: Duration::from_secs(1),
         lease_ms: Duration::from_secs(6),
