--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -373,7 +373,9 @@
             )) => {
                 if head > before || self.snapshot.is_none() {
                     let whole = self.from_peers.add(peer, head, part, parts, records);
-                    if let Some(snapshot) = whole {
+                    if let Some(snapshot) = whole
+                        && !self.would_revert(&snapshot)
+                    {
                         self.replace(now, snapshot, actions);
                     }
                 }
@@ -385,6 +387,13 @@
         }
     }
 
+    /// Whether a first snapshot is older than a head that others have announced. An earlier run
+    /// of this process may have applied that head, and nothing may go back; without an answer of
+    /// a peer that has it, requests are refused as not ready.
+    fn would_revert(&self, snapshot: &Snapshot) -> bool {
+        self.snapshot.is_none() && snapshot.revision() < self.known
+    }
+
     fn ask_peers(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
         let silent = self.silent_since.is_some_and(|since| {
             now.saturating_duration_since(since) >= self.options.peers_after_ms
--- a/components/control/tests/follower.rs
+++ b/components/control/tests/follower.rs
@@ -152,6 +152,35 @@
     assert_eq!(fleet.entries[0].follower.snapshot(), None);
 }
 
+/// Guards against a restarted entry that serves an older configuration than its earlier run did,
+/// because the first peer that it asked lags behind the others.
+#[test]
+fn first_snapshot_of_a_peer_that_lags_is_not_applied() {
+    let mut fleet = Fleet::new(World::with_targets(2));
+    fleet.settle(8);
+    let lagging = fleet.world.head();
+    fleet.world.run(change("p", 7)).unwrap();
+    let head = fleet.world.head();
+    fleet.outage = true;
+    fleet.entries[0] = fleet.started();
+    fleet.handle(0, FollowerEvent::Hint { revision: head });
+    let records = |revision| {
+        let records = fleet.world.at(revision).records();
+        let json = |record: &types::Change| serde_json::to_string(record).unwrap();
+        records.iter().map(json).collect::<Vec<String>>()
+    };
+    let answers = [lagging, head].map(|revision| PeerAnswer::Snapshot {
+        head: revision,
+        part: 0,
+        parts: 1,
+        records: records(revision),
+    });
+    for (answer, applied) in answers.into_iter().zip([0, head]) {
+        fleet.handle(0, FollowerEvent::PeerAnswered { peer: 1, answer });
+        assert_eq!(fleet.entries[0].applied, applied);
+    }
+}
+
 /// Guards against changes that are applied although an earlier one is missing, and against
 /// changes that are applied twice.
 #[test]
