--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -4,52 +4,48 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use control::TargetUpdate;
 use platform::PlatformError;
 use types::Order;
 use types::OrderKind;
 use types::OrderNumber;
 use types::ServiceKind;
-use types::Target;
-use types::TargetState;
 
 use crate::change::Change;
 use crate::change::Stage;
 use crate::engine_view::EngineView;
-use crate::engine_view::Wanted;
 use crate::event::Action;
 use crate::event::EngineState;
 use crate::event::OrderOutcome;
 use crate::limits::Limits;
 use crate::limits::RETRY_MS;
-use crate::load::LoadBook;
+use crate::registration::recorded;
 use crate::report::Note;
 use crate::row::RowEvent;
 use crate::row::TargetRow;
 
 /// Orders, and the row that records them.
 pub struct Orders {
-    limits: Rc<Limits>,
+    pub(crate) limits: Rc<Limits>,
     /// Hold on the target row.
     pub row: TargetRow,
     /// View of the engine.
     pub engine: EngineView,
-    change: Option<Change>,
+    pub(crate) change: Option<Change>,
     /// Order row as last read.
-    latest: Option<Order>,
+    pub(crate) latest: Option<Order>,
     /// Highest order that was started, in this run or according to the row.
-    started: OrderNumber,
+    pub(crate) started: OrderNumber,
     /// An earlier run may have left orders on their way.
-    follows_a_run: bool,
+    pub(crate) follows_a_run: bool,
     /// An order sent before this time may still reach the engine.
-    quiet_until: Option<Instant>,
+    pub(crate) quiet_until: Option<Instant>,
     /// When the last answer to an order came; a state read before says nothing of the order.
     passed_at: Option<Instant>,
     /// The answer to an order of this run was lost.
-    in_doubt: bool,
+    pub(crate) in_doubt: bool,
     /// The order row was read.
-    has_polled: bool,
-    hold: Hold,
+    pub(crate) has_polled: bool,
+    pub(crate) hold: Hold,
 }
 
 /// Whether this run holds the target.
@@ -89,7 +85,7 @@
         }
     }
 
-    fn is_model(&self) -> bool {
+    pub(crate) fn is_model(&self) -> bool {
         self.limits.kind == ServiceKind::Model
     }
 
@@ -99,7 +95,7 @@
         self.hold
     }
 
-    fn has_ended(&self) -> bool {
+    pub(crate) fn has_ended(&self) -> bool {
         self.hold != Hold::Kept
     }
 
@@ -271,112 +267,6 @@
         }
     }
 
-    /// Writes the update that is due, given the row that stands in the table.
-    fn plan(&mut self, now: Instant, current: Option<&Target>, out: &mut Vec<Action>) {
-        if self.row.held.is_none() {
-            // A released row was given back after the last order of that run had ended.
-            self.follows_a_run = current.is_some_and(|row| row.incarnation != 0);
-        }
-        if let Some((update, reason)) = self.next_update(current) {
-            let event = self.row.commit(now, &update, &reason, out);
-            self.row_event(now, event, out);
-        }
-    }
-
-    fn next_update(&self, current: Option<&Target>) -> Option<(TargetUpdate, String)> {
-        let limits = &self.limits;
-        if self.hold == Hold::Releasing {
-            let update = TargetUpdate::Release {
-                target: limits.target.clone(),
-                incarnation: limits.incarnation,
-            };
-            return Some((update, "agent stopped".to_owned()));
-        }
-        let Some(held) = &self.row.held else {
-            let target = self.registration(current);
-            let update = TargetUpdate::Register(Box::new(target));
-            return Some((update, "agent started".to_owned()));
-        };
-        if let Some(change) = &self.change {
-            if change.stage != Stage::Record {
-                return None;
-            }
-            let wanted = change.wanted.clone().unwrap_or_else(|| recorded(held));
-            let update = TargetUpdate::Executed {
-                target: limits.target.clone(),
-                incarnation: limits.incarnation,
-                number: change.order.number,
-                role: wanted.role,
-                loaded: wanted.loaded,
-            };
-            return Some((update, format!("order {} executed", change.order.number)));
-        }
-        if held.applied > 0 {
-            return None;
-        }
-        let state = self.engine.state().filter(|state| !state.away)?;
-        let target = Target {
-            loaded: state.loaded.clone(),
-            role: state.role,
-            ..held.clone()
-        };
-        let update = TargetUpdate::Register(Box::new(target));
-        Some((update, "engine state read".to_owned()))
-    }
-
-    /// Row of this run. What orders have reached is taken over from the row of the last one.
-    fn registration(&self, current: Option<&Target>) -> Target {
-        let limits = &self.limits;
-        let engine = self.engine.state().cloned().unwrap_or_default();
-        let ordered = current.filter(|current| current.applied > 0);
-        Target {
-            name: limits.target.clone(),
-            service: limits.service.clone(),
-            kind: limits.kind,
-            place: limits.place.clone(),
-            host: limits.host.clone(),
-            agent: limits.address,
-            incarnation: limits.incarnation,
-            honours_fencing: limits.honours_fencing,
-            state: TargetState::Active,
-            role: ordered.map_or(engine.role, |row| row.role),
-            loaded: ordered.map_or(engine.loaded, |row| row.loaded.clone()),
-            applied: 0,
-        }
-    }
-
-    fn written(&mut self, now: Instant, target: Option<&Target>, out: &mut Vec<Action>) {
-        if self.hold == Hold::Releasing {
-            self.hold = Hold::Released;
-            out.push(Action::Log(Note::Released));
-            return;
-        }
-        let Some(target) = target else {
-            return;
-        };
-        if self.quiet_until.is_none() {
-            let settle_ms = if self.follows_a_run {
-                self.limits.order_settle_ms
-            } else {
-                Duration::ZERO
-            };
-            self.quiet_until = Some(now + settle_ms);
-            out.push(Action::Log(Note::Registered {
-                applied: target.applied,
-            }));
-        }
-        self.started = self.started.max(target.applied);
-        let is_recorded = self.change.as_ref().is_some_and(|change| {
-            change.stage == Stage::Record && change.order.number <= target.applied
-        });
-        if is_recorded {
-            self.change = None;
-            out.push(Action::Log(Note::OrderDone {
-                number: target.applied,
-            }));
-        }
-    }
-
     /// Does everything that is due.
     pub fn advance(&mut self, now: Instant, in_service: usize, out: &mut Vec<Action>) {
         if self.is_model() {
@@ -390,41 +280,8 @@
         self.advance_row(now, out);
     }
 
-    fn advance_row(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if matches!(self.hold, Hold::Superseded | Hold::Released | Hold::Refused)
-            || !self.row.is_free(now)
-        {
-            return;
-        }
-        let Some(held) = &self.row.held else {
-            if !self.has_ended() && (!self.is_model() || self.engine.state().is_some()) {
-                self.row.begin_write(now, out);
-            }
-            return;
-        };
-        let is_outdated = held.applied == 0
-            && self.change.is_none()
-            && self.engine.state().is_some_and(|state| {
-                !state.away && (state.loaded != held.loaded || state.role != held.role)
-            });
-        let records = self
-            .change
-            .as_ref()
-            .is_some_and(|change| change.stage == Stage::Record);
-        if self.hold == Hold::Releasing || (!self.has_ended() && (records || is_outdated)) {
-            self.row.begin_write(now, out);
-            return;
-        }
-        let confirms = self.change.as_ref().is_some_and(|change| {
-            change.stage == Stage::Confirm && now >= change.not_before && self.may_pass(now)
-        });
-        if confirms || self.row.is_poll_due(now) {
-            self.row.poll(now, out);
-        }
-    }
-
     /// Whether nothing sent earlier can still reach the engine or be in progress there.
-    fn may_pass(&self, now: Instant) -> bool {
+    pub(crate) fn may_pass(&self, now: Instant) -> bool {
         self.quiet_until.is_none_or(|until| now >= until)
             && match self.passed_at {
                 Some(since) => self.engine.settled_since(since).is_some(),
@@ -513,48 +370,6 @@
             None => change.enter(now, Stage::Record),
         }
     }
-
-    /// Whether an order of unknown outcome may still take effect, and would cut work off. An
-    /// earlier run has left one only if its order is not recorded as executed.
-    fn awaits_quiet(&self, now: Instant) -> bool {
-        let applied = self.row.held.as_ref().map_or(0, |held| held.applied);
-        let is_outstanding = self.latest.as_ref().is_some_and(|at| at.number > applied);
-        self.quiet_until.is_some_and(|until| now < until)
-            && (self.in_doubt || is_outstanding || !self.has_polled)
-    }
-
-    /// Sets the target's part of the load report.
-    pub fn describe(&self, now: Instant, load: &mut LoadBook) {
-        let change = self.change.as_ref();
-        let state = self.engine.state();
-        let held = self.row.held.as_ref();
-        load.leaving = self.has_ended()
-            || held.is_some_and(|held| !held.state.accepts_work())
-            || change.is_some_and(|change| change.order.kind.ends_service());
-        load.applied = held.map_or(0, |held| held.applied);
-        let is_lost = held.is_some_and(|held| {
-            held.applied > 0
-                && change.is_none()
-                && state.is_some_and(|state| recorded(held).repair(state).is_some())
-        });
-        load.away = held.is_none()
-            || (self.is_model()
-                && (state.is_none_or(|state| state.away)
-                    || is_lost
-                    || self.awaits_quiet(now)
-                    || change.is_some_and(Change::stops_work)));
-        if let Some(state) = state {
-            load.loaded.clone_from(&state.loaded);
-            load.role = state.role;
-        }
-    }
-}
-
-fn recorded(held: &Target) -> Wanted {
-    Wanted {
-        loaded: held.loaded.clone(),
-        role: held.role,
-    }
 }
 
 /// What a step loads from the weight store.
--- /dev/null
+++ b/components/standin/tests/forwarder.rs
@@ -0,0 +1,144 @@
+//! The forwarder's silence, as tests of dead connections rely on it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+use http::Client;
+use http::ClientLimits;
+use http_types::Method;
+use smol::LocalExecutor;
+use smol::Timer;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol::net::UdpSocket;
+use standin::forwarder::ForwarderOptions;
+use standin::forwarder::Link;
+
+/// Wait for a byte that must not come. One that comes later is a false pass, not a false failure.
+const SILENT_MS: Duration = Duration::from_millis(200);
+/// Wait for a byte that must come; long, because the machine may be busy.
+const HEARD_MS: Duration = Duration::from_secs(20);
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    listener.local_addr().expect("bound")
+}
+
+async fn echo(listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let copy = async move {
+            let _ = futures_lite::io::copy(stream.clone(), stream).await;
+        };
+        executor.spawn(copy).detach();
+    }
+}
+
+async fn set_mode(control: SocketAddr, mode: &str) {
+    let client = Client::new(control, ClientLimits::default());
+    let mut request = client.request(Method::Post, "/mode").expect("path");
+    request.set_body(mode);
+    let answer = client.send_whole(request).await.expect("answer");
+    assert!(answer.status.is_success());
+}
+
+/// Sends a byte and tells whether it comes back in time.
+async fn echoes(stream: &mut TcpStream, limit: Duration) -> bool {
+    stream.write_all(b"x").await.expect("written");
+    let mut byte = [0; 1];
+    let answer = async { stream.read_exact(&mut byte).await.is_ok() };
+    let silence = async {
+        Timer::after(limit).await;
+        false
+    };
+    answer.or(silence).await
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    loop {
+        if let Ok(stream) = TcpStream::connect(address).await {
+            return stream;
+        }
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a forwarder whose old connections speak again, or whose new ones do not.
+#[test]
+fn silences_existing_connections_for_good_while_new_ones_work() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.clone().run(async move {
+        let target = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let (listen, control) = (free_address().await, free_address().await);
+        let link = Link {
+            listen,
+            target: target.local_addr().expect("bound"),
+        };
+        executor.spawn(echo(target, executor.clone())).detach();
+        let options = ForwarderOptions {
+            control,
+            link: vec![link],
+        };
+        let server = {
+            let executor = executor.clone();
+            async move { standin::forwarder::serve(&options, executor).await }
+        };
+        executor.spawn(server).detach();
+
+        let mut old = connect(listen).await;
+        assert!(echoes(&mut old, HEARD_MS).await);
+        drop(connect(control).await);
+        set_mode(control, r#"{"silence": "existing"}"#).await;
+        assert!(!echoes(&mut old, SILENT_MS).await);
+        let mut new = connect(listen).await;
+        assert!(echoes(&mut new, HEARD_MS).await);
+        set_mode(control, r#"{"silence": "none"}"#).await;
+        assert!(!echoes(&mut old, SILENT_MS).await, "bytes were lost on it");
+        assert!(echoes(&mut new, HEARD_MS).await);
+        set_mode(control, r#"{"silence": "all", "direction": "from-target"}"#).await;
+        assert!(!echoes(&mut new, SILENT_MS).await);
+    }));
+}
+
+/// Guards against datagrams that pass a silent link or do not pass an open one.
+#[test]
+fn silences_datagrams_until_told_otherwise() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.clone().run(async move {
+        let target = UdpSocket::bind("127.0.0.1:0").await.expect("loopback");
+        let (listen, control) = (free_address().await, free_address().await);
+        let options = ForwarderOptions {
+            control,
+            link: vec![Link {
+                listen,
+                target: target.local_addr().expect("bound"),
+            }],
+        };
+        let server = {
+            let executor = executor.clone();
+            async move { standin::forwarder::serve(&options, executor).await }
+        };
+        executor.spawn(server).detach();
+        drop(connect(control).await);
+
+        let near = UdpSocket::bind("127.0.0.1:0").await.expect("loopback");
+        near.send_to(b"one", listen).await.expect("sent");
+        let mut buffer = [0; 8];
+        let (count, from) = target.recv_from(&mut buffer).await.expect("arrived");
+        assert_eq!(&buffer[..count], b"one");
+        target.send_to(b"two", from).await.expect("sent");
+        let (count, _) = near.recv_from(&mut buffer).await.expect("arrived");
+        assert_eq!(&buffer[..count], b"two");
+
+        set_mode(control, r#"{"silence": "all"}"#).await;
+        near.send_to(b"lost", listen).await.expect("sent");
+        Timer::after(SILENT_MS).await;
+        set_mode(control, r#"{"silence": "none"}"#).await;
+        near.send_to(b"three", listen).await.expect("sent");
+        let (count, _) = target.recv_from(&mut buffer).await.expect("arrived");
+        assert_eq!(&buffer[..count], b"three");
+    }));
+}
