--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -1,8 +1,8 @@
 //! All attempts in the agent's hands: their queue, their runs, and the answers kept for
 //! resumption.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,8 +35,8 @@
     pub(crate) limits: Rc<Limits>,
     /// Load report under construction; the agent sets the target's part of it.
     pub load: LoadBook,
-    pub(crate) live: HashMap<AttemptId, Attempt>,
-    pub(crate) runs: HashMap<RunId, AttemptId>,
+    pub(crate) live: BTreeMap<AttemptId, Attempt>,
+    pub(crate) runs: BTreeMap<RunId, AttemptId>,
     queue: BTreeSet<(Instant, AttemptId)>,
     pub(crate) receiving: usize,
     pub(crate) waiting_bytes: u64,
@@ -56,8 +56,8 @@
             memory: Memory::new(limits.memory_limit),
             recent: Memory::new(RECENT_LIMIT),
             limits,
-            live: HashMap::new(),
-            runs: HashMap::new(),
+            live: BTreeMap::new(),
+            runs: BTreeMap::new(),
             queue: BTreeSet::new(),
             receiving: 0,
             waiting_bytes: 0,
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -1,7 +1,7 @@
 //! The state machine: its state, its events and its timers.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Instant;
 
 use types::AttemptId;
@@ -60,28 +60,28 @@
 
 /// All requests of one entry.
 pub struct Requests {
-    pub(crate) runs: HashMap<RequestId, Run>,
+    pub(crate) runs: BTreeMap<RequestId, Run>,
     /// Run of every caller that waits.
-    pub(crate) waiting: HashMap<RequestId, RequestId>,
+    pub(crate) waiting: BTreeMap<RequestId, RequestId>,
     /// Run of every attempt in progress; messages about others are late and dropped.
-    pub(crate) attempts: HashMap<AttemptId, RequestId>,
+    pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
     /// Run of every key; resends join it.
-    pub(crate) claimed: HashMap<String, RequestId>,
+    pub(crate) claimed: BTreeMap<String, RequestId>,
     /// Run that asks about another entry's attempt.
-    pub(crate) enquiries: HashMap<AttemptId, RequestId>,
+    pub(crate) enquiries: BTreeMap<AttemptId, RequestId>,
     pub(crate) batches: Batches,
     pub(crate) reads_pending: Vec<RequestId>,
-    pub(crate) reads: HashMap<u64, Vec<RequestId>>,
+    pub(crate) reads: BTreeMap<u64, Vec<RequestId>>,
     /// Outcomes that are not written yet, by the key of their row.
-    pub(crate) outcomes: HashMap<String, ClaimRow>,
+    pub(crate) outcomes: BTreeMap<String, ClaimRow>,
     pub(crate) outcomes_delayed: Vec<Write>,
     pub(crate) tokens: Tokens,
     pub(crate) entry: Incarnation,
     /// Number of the last call to the table.
     pub(crate) operations: u64,
-    pub(crate) queues: HashMap<QueueKey, Queue>,
-    pub(crate) budgets: HashMap<ServiceName, RetryBudget>,
-    pub(crate) connections: HashMap<TargetName, Incarnation>,
+    pub(crate) queues: BTreeMap<QueueKey, Queue>,
+    pub(crate) budgets: BTreeMap<ServiceName, RetryBudget>,
+    pub(crate) connections: BTreeMap<TargetName, Incarnation>,
     pub(crate) timers: BTreeSet<(Instant, Timer)>,
     /// Time of the pump timer that is set.
     pub(crate) pump_at: Option<Instant>,
@@ -97,22 +97,22 @@
     #[must_use]
     pub fn new(entry: Incarnation, seed: u64) -> Self {
         Self {
-            claimed: HashMap::new(),
-            enquiries: HashMap::new(),
+            claimed: BTreeMap::new(),
+            enquiries: BTreeMap::new(),
             batches: Batches::default(),
             reads_pending: Vec::new(),
-            reads: HashMap::new(),
-            outcomes: HashMap::new(),
+            reads: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
             outcomes_delayed: Vec::new(),
             tokens: Tokens::new(entry, seed),
             entry,
             operations: 0,
-            runs: HashMap::new(),
-            waiting: HashMap::new(),
-            attempts: HashMap::new(),
-            queues: HashMap::new(),
-            budgets: HashMap::new(),
-            connections: HashMap::new(),
+            runs: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            connections: BTreeMap::new(),
             timers: BTreeSet::new(),
             pump_at: None,
             reads_due: None,
