--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -19,6 +19,7 @@
 pub use fluid::Roles;
 pub use mix::Demand;
 pub use mix::Mix;
+pub use plan::Ended;
 pub use plan::Planner;
 pub use settings::Mechanisms;
 pub use settings::Settings;
--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -1,7 +1,6 @@
 //! The planner of one service.
 
 use std::collections::HashMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use routing::TargetView;
@@ -33,6 +32,17 @@
     decode: f64,
 }
 
+/// How an attempt ended, as far as it concerns the demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Its usage replaces what was expected of it.
+    Answered(Usage),
+    /// Another attempt takes its place.
+    TriedAgain,
+    /// It was demanded and did not get its whole answer.
+    Unserved,
+}
+
 /// A change that was ordered.
 #[derive(Debug, Clone)]
 struct Ordered {
@@ -42,6 +52,14 @@
     at: Instant,
 }
 
+/// A time in which changes in one direction look useful.
+#[derive(Debug, Clone, Copy)]
+struct Shift {
+    towards_prefill: bool,
+    since: Instant,
+    seen: Instant,
+}
+
 /// The best single change.
 #[derive(Debug, Clone, Copy)]
 struct Best {
@@ -60,7 +78,7 @@
     availability: Availability,
     pending: Option<Ordered>,
     last: Option<Ordered>,
-    shift: Option<(bool, Instant)>,
+    shift: Option<Shift>,
     reason: Option<Reason>,
 }
 
@@ -91,15 +109,19 @@
         self.counted.insert(attempt, counted);
     }
 
-    /// An attempt ended; its usage replaces what was expected of it.
-    pub fn settled(&mut self, now: Instant, attempt: AttemptId, usage: Option<Usage>) {
+    /// An attempt ended.
+    pub fn settled(&mut self, now: Instant, attempt: AttemptId, ended: Ended) {
         let Some(counted) = self.counted.remove(&attempt) else {
             return;
         };
-        let (prefill, decode) = usage.map_or((0.0, 0.0), |usage| {
-            let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
-            (f64::from(prefill), f64::from(usage.output_tokens))
-        });
+        let (prefill, decode) = match ended {
+            Ended::Answered(usage) => {
+                let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+                (f64::from(prefill), f64::from(usage.output_tokens))
+            }
+            Ended::TriedAgain => (0.0, 0.0),
+            Ended::Unserved => return,
+        };
         let class = counted.prefill_class;
         self.mix.add(
             now,
@@ -109,6 +131,13 @@
         );
     }
 
+    /// A request was refused for lack of capacity. It is part of the demand; without it, a service
+    /// in the wrong roles would look as if it had capacity to spare.
+    pub fn refused(&mut self, now: Instant, prefill: f64, decode: f64) {
+        let class = self.mix.is_prefill(prefill, decode);
+        self.mix.add(now, class, prefill, decode);
+    }
+
     /// The order of the last change could not be written.
     pub fn order_failed(&mut self) {
         self.pending = None;
@@ -211,15 +240,19 @@
         figures.capacity = figures.roles.capacity(&figures.fast, rates);
         let best = self.best_change(figures);
         let Some(best) = best.filter(|best| best.gain >= self.settings.least_gain) else {
-            self.shift = None;
+            self.shift = self.shift.filter(|shift| self.is_recent(now, shift));
             return None;
         };
         let towards_prefill = Roles::position(best.to) < Roles::position(best.from);
-        let since = match self.shift {
-            Some((direction, since)) if direction == towards_prefill => since,
-            _ => now,
-        };
-        self.shift = Some((towards_prefill, since));
+        let shift = self
+            .shift
+            .filter(|shift| shift.towards_prefill == towards_prefill && self.is_recent(now, shift));
+        let since = shift.map_or(now, |shift| shift.since);
+        self.shift = Some(Shift {
+            towards_prefill,
+            since,
+            seen: now,
+        });
         figures.capacity_after = best.capacity;
         figures.gain_fast = best.gain;
         figures.shift_s = now.saturating_duration_since(since).as_secs_f64();
@@ -229,6 +262,11 @@
         Some(best)
     }
 
+    /// Whether the shift was seen lately; the fast estimate is noisy, so it may miss it for a while.
+    fn is_recent(&self, now: Instant, shift: &Shift) -> bool {
+        now.saturating_duration_since(shift.seen) <= self.settings.grace_ms
+    }
+
     fn best_change(&self, figures: &Figures) -> Option<Best> {
         let rates = &self.settings.rates;
         let mut best: Option<Best> = None;
@@ -278,7 +316,6 @@
         } else {
             0.0
         };
-        figures.gain_s = best.gain * figures.shift_s + figures.gain_slow * later_s;
         let away_s = self.settings.away_ms.as_secs_f64();
         let lost_s = away_s + DRAIN_LOSS * self.drain_s(target);
         let reversal = self.reverses(now, best);
@@ -288,6 +325,9 @@
             1.0
         };
         figures.cost_s = lost_s * weight * factor;
+        // If the old mix comes back, the change can be reversed for what it cost.
+        let later = (figures.gain_slow * later_s).max(-lost_s * weight);
+        figures.gain_s = best.gain * figures.shift_s + later;
         if mechanisms.patience && figures.shift_s < fast_s {
             return Err(Reason::Patience);
         }
@@ -361,11 +401,4 @@
         self.last = Some(ordered.clone());
         self.pending = Some(ordered);
     }
-
-    /// Time for which a change in the same direction has looked useful.
-    #[must_use]
-    pub fn shift_ms(&self, now: Instant) -> Option<Duration> {
-        let (_, since) = self.shift?;
-        Some(now.saturating_duration_since(since))
-    }
 }
--- a/components/planner/src/settings.rs
+++ b/components/planner/src/settings.rs
@@ -45,6 +45,8 @@
     pub gone_ms: Duration,
     /// An order that has had no effect for this long no longer holds up planning.
     pub order_ms: Duration,
+    /// A shift that is not seen for this long has ended.
+    pub grace_ms: Duration,
     /// Time after a change within which its reversal needs `reversal_factor` times the gain.
     pub reversal_ms: Duration,
     /// Factor on the cost of a reversal.
@@ -72,9 +74,10 @@
             fresh_ms: Duration::from_secs(3),
             gone_ms: Duration::from_mins(1),
             order_ms: Duration::from_mins(2),
+            grace_ms: Duration::from_secs(8),
             reversal_ms: Duration::from_mins(5),
             reversal_factor: 2.0,
-            headroom: 1.15,
+            headroom: 1.0,
             least_gain: 0.05,
             traffic_share: 1.0,
             rates: [Role::Prefill, Role::Mixed, Role::Decode].map(|role| *routing.rates(role)),
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -256,7 +256,9 @@
             } else {
                 0.0
             };
-            estimate.total_ms() + weight * job.work_ms(rates)
+            // On an idle target nobody is delayed, on a full one everybody is.
+            let occupied = (load.requests / f64::from(rates.slots)).min(1.0);
+            estimate.total_ms() + weight * occupied * job.work_ms(rates)
         } else {
             load.requests + 1.0
         };
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use request::Need;
 use types::AttemptId;
 use types::CacheEvent;
 use types::HostName;
@@ -275,6 +276,24 @@
         self.sent.get(&attempt).map(|sent| sent.size)
     }
 
+    /// What a request would cost the target with the best cache match.
+    #[must_use]
+    pub fn size_for(&self, need: &Need) -> Size {
+        let holders = self.index.best_holders(&need.prefixes);
+        let matched = holders
+            .iter()
+            .map(|holder| self.index.matched(&need.prefixes, *holder))
+            .max();
+        let matched = u32::try_from(matched.unwrap_or(0)).unwrap_or(u32::MAX);
+        let cached = matched.saturating_mul(self.settings.piece_tokens);
+        let pool = self.services.get(&need.service);
+        let share = pool.map_or(FIRST_OUTPUT_SHARE, |pool| self.pools[*pool].output_share);
+        Size {
+            prefill_tokens: f64::from(need.prompt_tokens.saturating_sub(cached)),
+            decode_tokens: share * f64::from(need.max_output_tokens),
+        }
+    }
+
     /// Pairs in the prefix-cache index.
     #[must_use]
     pub fn index_len(&self) -> usize {
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -80,7 +80,8 @@
     pub sample_limit: usize,
     /// Time after which the caller of `choose` asks again when every target is full.
     pub retry_ms: Duration,
-    /// Weight of the engine time that a request takes from others, beside its own time to finish.
+    /// Weight of the engine time that a request takes from others on a full target, beside its own
+    /// time to finish. Less than 20 loses cache hits under overload, see `docs/policy.md`.
     pub work_weight: f64,
     /// Prompt tokens of one cache piece.
     pub piece_tokens: u32,
@@ -109,7 +110,7 @@
             sample_count: 5,
             sample_limit: 16,
             retry_ms: Duration::from_millis(20),
-            work_weight: 20.0,
+            work_weight: 40.0,
             piece_tokens: 2_000,
             index_limit: 1 << 17,
             prefill: RoleRates {
--- a/examples/policy/world/calls.rs
+++ b/examples/policy/world/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use planner::Ended;
 use rand::RngExt;
 use request::Choice;
 use request::Need;
@@ -172,11 +173,12 @@
         if entry == 0
             && let Roleplan::Ours(planner) = &mut self.roleplan
         {
-            let usage = match how {
-                Settlement::Answered(usage) => Some(usage),
-                _ => None,
+            let ended = match how {
+                Settlement::Answered(usage) => Ended::Answered(usage),
+                Settlement::Rejected | Settlement::Failed => Ended::TriedAgain,
+                Settlement::Cancelled => Ended::Unserved,
             };
-            planner.settled(now, attempt, usage);
+            planner.settled(now, attempt, ended);
         }
     }
 
@@ -199,6 +201,7 @@
     }
 
     pub(super) fn refuse(&mut self, call: usize) {
+        self.count_refused(call);
         if self.sub == Sub::Resends && self.progress[call].resends < RESENDS {
             self.progress[call].resends += 1;
             let resend = self.progress[call].resends;
@@ -209,6 +212,28 @@
         self.end(call, Outcome::Refused);
     }
 
+    /// Counts a refused call as demand.
+    fn count_refused(&mut self, call: usize) {
+        let (now, need) = (self.instant(), self.need(call));
+        let entry = self.calls[call].entry;
+        let Routing::Ours(fleet) = &self.entries[entry].routing else {
+            return;
+        };
+        if entry != 0 {
+            return;
+        }
+        let size = fleet.size_for(&need);
+        let (prefill, decode) = (size.prefill_tokens, size.decode_tokens);
+        match &mut self.roleplan {
+            Roleplan::None => {}
+            Roleplan::Ours(planner) => planner.refused(now, prefill, decode),
+            Roleplan::Bare(bare) => {
+                let class = bare.mix.is_prefill(prefill, decode);
+                bare.mix.add(now, class, prefill, decode);
+            }
+        }
+    }
+
     pub(super) fn watch_patience(&mut self, call: usize) {
         if self.sub == Sub::Resends {
             let resend = self.progress[call].resends + 1;
