--- a/components/entry/src/core/router.rs
+++ b/components/entry/src/core/router.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use planner::Decision;
+use planner::Ended;
 use planner::Planner;
 use request::Choice;
 use request::Need;
@@ -85,7 +86,16 @@
 
 impl Router for PlanningRouter {
     fn choose(&mut self, now: Instant, need: &Need, exclude: &[TargetName]) -> Choice {
-        self.fleet.choose(now, need, exclude)
+        let choice = self.fleet.choose(now, need, exclude);
+        // What is refused for its deadline is demand too.
+        if matches!(choice, Choice::Infeasible { .. })
+            && let Some(seat) = self.seats.get_mut(&need.service)
+        {
+            let size = self.fleet.size_for(need);
+            seat.planner
+                .refused(now, size.prefill_tokens, size.decode_tokens);
+        }
+        choice
     }
 
     fn dispatched(&mut self, now: Instant, target: &TargetName, attempt: AttemptId, need: &Need) {
@@ -121,12 +131,13 @@
             return;
         };
         if let Some(seat) = self.seats.get_mut(&service) {
-            let usage = match settlement {
-                Settlement::Answered(usage) => Some(usage),
-                Settlement::Rejected | Settlement::Failed | Settlement::Cancelled => None,
+            let ended = match settlement {
+                Settlement::Answered(usage) => Ended::Answered(usage),
+                Settlement::Rejected | Settlement::Failed => Ended::TriedAgain,
+                Settlement::Cancelled => Ended::Unserved,
             };
             seat.in_flight = seat.in_flight.saturating_sub(1);
-            seat.planner.settled(now, attempt, usage);
+            seat.planner.settled(now, attempt, ended);
         }
     }
 }
