--- a/benches/slopes/messages.rs
+++ b/benches/slopes/messages.rs
@@ -93,6 +93,14 @@
     ]
 }
 
+/// Bytes of a probe and its answer on the network.
+pub fn probe_bytes() -> usize {
+    let keys = keyring();
+    let bytes = |datagram: &Datagram| datagram.encode(&keys).expect("fits a datagram").len();
+    let [(_, probe), (_, alive), _] = datagrams();
+    bytes(&probe) + bytes(&alive) + 2 * UDP_HEADER_BYTES
+}
+
 fn print_datagram(name: &str, datagram: &Datagram, keys: &Keyring) {
     let bytes = datagram.encode(keys).expect("fits a datagram");
     let encode_us = time_us(|| {
--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::Phase;
+use crate::attempt::Reader;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::RunId;
@@ -102,6 +103,14 @@
         }
     }
 
+    /// Whether an answer is still to be sent on a connection.
+    pub(crate) fn has_reader(&self, connection: ConnectionId) -> bool {
+        let reads = |reader: &Reader| reader.connection == connection && !reader.end_sent;
+        self.live
+            .values()
+            .any(|attempt| attempt.readers.iter().any(reads))
+    }
+
     /// Waiting attempt that would be started last.
     pub(crate) fn last_queued(&self) -> Option<(Instant, AttemptId)> {
         self.queue.last().copied()
--- a/components/agent/src/limits.rs
+++ b/components/agent/src/limits.rs
@@ -13,8 +13,11 @@
 pub const TICK_MS: Duration = Duration::from_millis(50);
 /// Largest chunk in one frame; small enough that streams sharing a connection take turns.
 pub const CHUNK_LIMIT_BYTES: u64 = 32 << 10;
-/// A connection without a frame for this long is closed; entries ping every 500 ms.
+/// A connection with an attempt but without a frame for this long is closed; entries ping it
+/// every 500 ms.
 pub const SILENCE_LIMIT_MS: Duration = Duration::from_secs(2);
+/// The same for a connection without an attempt; entries ping it every minute.
+pub const IDLE_LIMIT_MS: Duration = Duration::from_mins(3);
 /// Time between two reads of the engine's load and cache events.
 pub const LOAD_POLL_MS: Duration = Duration::from_millis(500);
 /// Time between two reads of the engine's state.
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -16,6 +16,7 @@
 use crate::event::ConnectionId;
 use crate::event::Event;
 use crate::event::ExitReason;
+use crate::limits::IDLE_LIMIT_MS;
 use crate::limits::LINGER_MS;
 use crate::limits::Limits;
 use crate::limits::RELEASE_LIMIT_MS;
@@ -246,7 +247,11 @@
         let silent: Vec<ConnectionId> = self
             .connections
             .iter()
-            .filter(|(_, heard)| now >= **heard + SILENCE_LIMIT_MS)
+            .filter(|(connection, heard)| {
+                let is_silent = now >= **heard + SILENCE_LIMIT_MS;
+                is_silent
+                    && (now >= **heard + IDLE_LIMIT_MS || self.attempts.has_reader(**connection))
+            })
             .map(|(connection, _)| *connection)
             .collect();
         for connection in silent {
--- a/components/entry/src/core/links.rs
+++ b/components/entry/src/core/links.rs
@@ -2,6 +2,10 @@
 //!
 //! A connection is replaced when it breaks, goes silent, or leads to another run of the agent
 //! than the one it was opened to. Failed attempts to connect back off up to a limit.
+//!
+//! A connection is watched, that is pinged and replaced when silent, while something is in
+//! flight on it or a probe of its target is unanswered. The first message on one that was idle
+//! starts the watch, so that a silent one is replaced within the same time.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -24,10 +28,12 @@
 /// Times of the connections.
 #[derive(Debug, Clone, Copy)]
 pub struct LinkTimes {
-    /// Silence before a ping.
+    /// Silence before a ping on a connection that is watched.
     pub heartbeat_ms: Duration,
     /// Silence before the connection is replaced.
     pub silence_ms: Duration,
+    /// Silence before a ping on one that is not, so that both ends forget a dead one.
+    pub idle_ms: Duration,
     /// Time for opening a connection.
     pub connect_ms: Duration,
     /// Wait after the first failure; doubles with each further one.
@@ -41,6 +47,7 @@
         Self {
             heartbeat_ms: Duration::from_millis(500),
             silence_ms: Duration::from_secs(2),
+            idle_ms: Duration::from_mins(1),
             connect_ms: Duration::from_secs(2),
             backoff_ms: Duration::from_millis(50),
             backoff_limit_ms: Duration::from_secs(2),
@@ -96,7 +103,43 @@
 enum State {
     Waiting { until: Instant },
     Opening { link: LinkId, since: Instant },
-    Up { link: LinkId, liveness: Liveness },
+    Up { link: LinkId, beat: Beat },
+}
+
+/// Liveness of a connection in use.
+struct Beat {
+    liveness: Liveness,
+    heard: Instant,
+    is_watched: bool,
+}
+
+impl Beat {
+    fn new(now: Instant, times: &LinkTimes) -> Self {
+        Self {
+            liveness: Liveness::new(now, times.heartbeat_ms, times.silence_ms),
+            heard: now,
+            is_watched: false,
+        }
+    }
+
+    /// Counts silence from now on, unless it is counted already.
+    fn watch(&mut self, now: Instant, times: &LinkTimes) {
+        if !self.is_watched {
+            self.is_watched = true;
+            self.liveness = Liveness::new(now, times.heartbeat_ms, times.silence_ms);
+        }
+    }
+
+    fn tick(&mut self, now: Instant, times: &LinkTimes) -> Pulse {
+        if self.is_watched {
+            return self.liveness.tick(now);
+        }
+        if now.saturating_duration_since(self.heard) < times.idle_ms {
+            return Pulse::Fine;
+        }
+        self.watch(now, times);
+        Pulse::Ping
+    }
 }
 
 struct Link {
@@ -215,7 +258,7 @@
         entry.failures = 0;
         entry.state = State::Up {
             link,
-            liveness: Liveness::new(now, times.heartbeat_ms, times.silence_ms),
+            beat: Beat::new(now, &times),
         };
         actions.push(LinkAction::Up {
             target: name,
@@ -228,10 +271,11 @@
     /// connection is not in use any more.
     pub fn heard(&mut self, now: Instant, link: LinkId) -> Option<(TargetName, Incarnation)> {
         let (name, entry) = self.find(link)?;
-        let State::Up { liveness, .. } = &mut entry.state else {
+        let State::Up { beat, .. } = &mut entry.state else {
             return None;
         };
-        liveness.heard(now);
+        beat.heard = now;
+        beat.liveness.heard(now);
         Some((name, entry.incarnation?))
     }
 
@@ -253,6 +297,31 @@
         actions
     }
 
+    /// A message that has to be answered goes out on a connection.
+    pub fn sent(&mut self, now: Instant, link: LinkId) {
+        let times = self.times;
+        if let Some((_, entry)) = self.find(link)
+            && let State::Up { beat, .. } = &mut entry.state
+        {
+            beat.watch(now, &times);
+        }
+    }
+
+    /// Watches the connections to these targets, and the others no longer if they were heard
+    /// of since the last heartbeat.
+    pub fn watch(&mut self, now: Instant, is_in_use: impl Fn(&TargetName) -> bool) {
+        for (name, link) in &mut self.by_target {
+            let State::Up { beat, .. } = &mut link.state else {
+                continue;
+            };
+            if is_in_use(name) {
+                beat.watch(now, &self.times);
+            } else if now.saturating_duration_since(beat.heard) < self.times.heartbeat_ms {
+                beat.is_watched = false;
+            }
+        }
+    }
+
     /// Opens, pings and replaces connections.
     pub fn tick(&mut self, now: Instant) -> Vec<LinkAction> {
         let mut actions = Vec::new();
@@ -276,7 +345,7 @@
                 State::Opening { link, since } if *since + self.times.connect_ms <= now => {
                     failed.push(*link);
                 }
-                State::Up { link, liveness } => match liveness.tick(now) {
+                State::Up { link, beat } => match beat.tick(now, &self.times) {
                     Pulse::Fine => {}
                     Pulse::Ping => {
                         self.nonce += 1;
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -56,6 +56,9 @@
 /// Longest time between two ticks; bounds how late silence and probes are noticed.
 const TICK_MS: Duration = Duration::from_millis(50);
 
+/// Between two looks at which connections are in use; each one goes over all requests.
+const WATCH_MS: Duration = Duration::from_millis(250);
+
 /// State of an entry.
 pub struct EntryCore {
     options: CoreOptions,
@@ -67,6 +70,7 @@
     router: PlanningRouter,
     requests: Requests,
     links: Links,
+    watch_due: Instant,
     shares: Shares,
     shares_due: Instant,
     /// Connected targets outside the share, with the time until which they are kept.
@@ -100,6 +104,7 @@
             router: PlanningRouter::new(options.routing.clone(), seed),
             requests: Requests::new(incarnation, seed),
             links: Links::new(options.links),
+            watch_due: now,
             shares: Shares::new(options.share_targets, options.address, &peers),
             shares_due: now,
             outside: BTreeMap::new(),
@@ -230,6 +235,7 @@
         if self.follower.next_wake() <= now {
             self.tell_follower(now, FollowerEvent::Tick, actions);
         }
+        self.watch_links(now);
         let links = self.links.tick(now);
         self.carry_out_links(now, links, actions);
         let head = self.follower.applied();
@@ -247,6 +253,18 @@
         self.tick_planning(now, actions);
     }
 
+    fn watch_links(&mut self, now: Instant) {
+        if now < self.watch_due {
+            return;
+        }
+        self.watch_due = now + WATCH_MS;
+        let in_use = self.requests.targets_in_use();
+        let probes = &self.probes;
+        let is_in_use =
+            |target: &TargetName| in_use.contains(target) || probes.is_unanswered(target);
+        self.links.watch(now, is_in_use);
+    }
+
     fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.leaving_since = Some(now);
         actions.push(Action::Note(Note::Stopping {
--- a/components/entry/src/core/probes.rs
+++ b/components/entry/src/core/probes.rs
@@ -101,6 +101,13 @@
         expected
     }
 
+    /// Whether a probe of a target had no answer before the next one was sent.
+    #[must_use]
+    pub fn is_unanswered(&self, target: &str) -> bool {
+        let probed = self.targets.get(target);
+        probed.is_some_and(|probed| probed.outstanding.len() > 1)
+    }
+
     fn next_probe(&mut self, now: Instant, target: &TargetName) -> Option<u64> {
         let probed = self
             .targets
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -76,6 +76,7 @@
                 }
                 request::Action::Send { target, message } => {
                     if let Some(link) = self.links.link(&target) {
+                        self.links.sent(now, link);
                         actions.push(Action::Send { link, message });
                     } else if is_about_claim(&message) {
                         self.connect_outside(now, &target, actions);
