--- a/components/entry/src/core/probes.rs
+++ b/components/entry/src/core/probes.rs
@@ -23,6 +23,10 @@
 /// Probes of one target whose answers still count; older ones are taken for replays.
 const OUTSTANDING_PROBES: usize = 4;
 
+/// Peers that one announcement goes to. A new head is passed on by each of them, and the poll of
+/// the table finds it within a second anyway.
+const ANNOUNCED_PEERS: usize = 8;
+
 struct Probed {
     due: Instant,
     outstanding: SmallVec<[u64; OUTSTANDING_PROBES]>,
@@ -36,6 +40,7 @@
     targets: BTreeMap<TargetName, Probed>,
     peers: Vec<SocketAddr>,
     peers_due: Instant,
+    next_peer: usize,
     announced: Revision,
 }
 
@@ -56,11 +61,13 @@
             targets: BTreeMap::new(),
             peers,
             peers_due: now,
+            // Entries start at different peers.
+            next_peer: usize::try_from(entry >> 32).unwrap_or(0),
             announced: 0,
         }
     }
 
-    /// Sends what is due. A new head goes to all peers at once.
+    /// Sends what is due. A new head goes to some peers at once.
     pub fn tick<'a>(
         &mut self,
         now: Instant,
@@ -138,8 +145,13 @@
             entry: self.entry,
             head,
         };
-        self.peers
-            .iter()
+        let count = self.peers.len().min(ANNOUNCED_PEERS);
+        let first = self.next_peer;
+        self.next_peer = first.wrapping_add(count);
+        let peers = self.peers.iter().cycle();
+        peers
+            .skip(first.checked_rem(self.peers.len()).unwrap_or(0))
+            .take(count)
             .map(|to| Outgoing {
                 to: *to,
                 datagram: datagram.clone(),
--- a/components/entry/tests/probes.rs
+++ b/components/entry/tests/probes.rs
@@ -50,6 +50,23 @@
     assert!(probes.answered(&target, sent[7]));
 }
 
+/// Guards against announcements that grow with the number of entries, and against entries that
+/// are never told.
+#[test]
+fn announces_to_few_peers_at_once_and_to_all_in_turn() {
+    let mut now = Instant::now();
+    let peers: Vec<SocketAddr> = (0..379).map(address).collect();
+    let mut probes = Probes::new(now, u64::MAX, INTERVAL, peers.clone());
+    let mut told = std::collections::BTreeSet::new();
+    for _ in 0..48 {
+        let outgoing = probes.tick(now, 1, std::iter::empty());
+        assert_eq!(outgoing.len(), 8);
+        told.extend(outgoing.into_iter().map(|out| out.to));
+        now += INTERVAL;
+    }
+    assert_eq!(told.len(), peers.len());
+}
+
 /// Guards against configuration that waits for the next poll at the other entries.
 #[test]
 fn announces_a_new_head_at_once_and_an_old_one_at_the_interval() {
