--- a/components/request/src/batch.rs
+++ b/components/request/src/batch.rs
@@ -5,6 +5,7 @@
 //! taken out of its batch, and the others are sent again. Every write carries a token: a row
 //! with the token of a write is that write, whatever became of its reply.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -117,13 +118,30 @@
             return None;
         }
         self.flushed_at = Some(now);
-        let rest = self.pending.split_off(self.pending.len().min(BATCH_LIMIT));
-        let writes = std::mem::replace(&mut self.pending, rest);
+        let writes = self.next_batch();
         self.pending_bytes = 0;
         self.flush_at = (!self.pending.is_empty()).then_some(now);
         self.commit(operation, writes)
     }
 
+    /// Takes the first write of each row. Two writes of one row under the same version would
+    /// both succeed in one transaction, and the run of the first would take the claim of the
+    /// second for its own. In a transaction of its own, the second meets a changed row.
+    fn next_batch(&mut self) -> Vec<Write> {
+        let mut keys = BTreeSet::new();
+        let mut batch = Vec::new();
+        let mut rest = Vec::new();
+        for write in std::mem::take(&mut self.pending) {
+            if batch.len() < BATCH_LIMIT && keys.insert(write.key.clone()) {
+                batch.push(write);
+            } else {
+                rest.push(write);
+            }
+        }
+        self.pending = rest;
+        batch
+    }
+
     /// Whether the operation belongs to a batch.
     #[must_use]
     pub fn owns(&self, operation: u64) -> bool {
--- a/components/request/src/claims.rs
+++ b/components/request/src/claims.rs
@@ -62,8 +62,7 @@
     /// Makes the reads and commits that are due.
     pub(crate) fn flush_table(&mut self, cx: &mut Context) {
         self.flush_reads(cx);
-        let operation = self.operations + 1;
-        while let Some(request) = self.batches.flush(cx.now, operation) {
+        while let Some(request) = self.batches.flush(cx.now, self.operations + 1) {
             let operation = self.next_operation();
             cx.actions.push(Action::Table { operation, request });
         }
