--- a/components/agent/tests/attempts/main.rs
+++ b/components/agent/tests/attempts/main.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use agent::Limits;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::AttemptId;
 use types::ServiceKind;
 use wire::ToAgent;
--- a/components/agent/tests/orders/main.rs
+++ b/components/agent/tests/orders/main.rs
@@ -9,7 +9,7 @@
 use agent::ExitReason;
 use control::Versioned;
 use control::keys;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::Loaded;
 use types::OrderKind;
 use types::Role;
--- a/components/callers/tests/prompt.rs
+++ b/components/callers/tests/prompt.rs
@@ -4,7 +4,7 @@
 use callers::PrefixHasher;
 use callers::TOKEN_BYTES;
 use callers::parse_prompt;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 
 const PIECE_BYTES: usize = PIECE_TOKENS * TOKEN_BYTES;
 const VALID: &[u8] =
--- a/components/control/tests/commands.rs
+++ b/components/control/tests/commands.rs
@@ -21,7 +21,7 @@
 use control::CommandOutcome;
 use control::CommandRequest;
 use control::Executor;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::Change;
 use types::ChangeBody;
 use types::OrderKind;
--- a/components/control/tests/targets.rs
+++ b/components/control/tests/targets.rs
@@ -12,7 +12,7 @@
 use control::Author;
 use control::TargetError;
 use control::TargetUpdate;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::ChangeBody;
 use types::OrderKind;
 use types::Target;
--- a/components/fakes/tests/engine.rs
+++ b/components/fakes/tests/engine.rs
@@ -7,7 +7,7 @@
 use fakes::engine_job::Constants;
 use fakes::engine_job::Job;
 use fakes::engine_job::Progress;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::AttemptId;
 use types::Role;
 
--- a/components/http/tests/decoders.rs
+++ b/components/http/tests/decoders.rs
@@ -3,7 +3,7 @@
 use http::BodyDecoder;
 use http::Framing;
 use http::parse_head;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 
 const VALID: &[u8] = b"POST /services/a/v1/completions?x=1 HTTP/1.1\r\nHost: a\r\n\
     Content-Type: application/json\r\nContent-Length: 12\r\nExpect: 100-continue\r\n\r\n";
--- a/components/planner/tests/decisions.rs
+++ b/components/planner/tests/decisions.rs
@@ -9,9 +9,9 @@
 use planner::Settings;
 use planner::Verdict;
 use quickcheck::TestResult;
-use quickcheck::quickcheck;
 use routing::Standing;
 use routing::TargetView;
+use seeded::quickcheck;
 use types::AttemptId;
 use types::Role;
 
--- a/components/platform/tests/guarded.rs
+++ b/components/platform/tests/guarded.rs
@@ -26,7 +26,7 @@
 use platform::Transaction;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use types::Clock;
 use types::ManualClock;
 
--- a/components/routing/tests/load.rs
+++ b/components/routing/tests/load.rs
@@ -6,12 +6,12 @@
 
 use common::World;
 use common::need;
-use quickcheck::quickcheck;
 use request::Choice;
 use request::Router;
 use request::Settlement;
 use routing::PrefixIndex;
 use routing::cache::Holder;
+use seeded::quickcheck;
 use types::CacheEvent;
 use types::Usage;
 
--- a/components/routing/tests/membership.rs
+++ b/components/routing/tests/membership.rs
@@ -8,11 +8,11 @@
 
 use common::World;
 use common::need;
-use quickcheck::quickcheck;
 use request::Choice;
 use request::Router;
 use request::Settlement;
 use routing::Standing;
+use seeded::quickcheck;
 use types::TargetState;
 
 fn chosen(choice: &Choice) -> Option<String> {
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use quickcheck::quickcheck;
+use seeded::quickcheck;
 use settings::Loaded;
 use settings::SettingsError;
 use settings::load_agent;
