--- /dev/null
+++ b/components/request/src/connections.rs
@@ -0,0 +1,109 @@
+//! Connections to agents that break and come back, and runs of agents that end.
+
+use std::time::Duration;
+
+use types::AttemptId;
+use types::Incarnation;
+use types::RequestId;
+use types::TargetName;
+
+use crate::requests::Context;
+use crate::requests::Requests;
+use crate::requests::Timer;
+use crate::router::Settlement;
+
+/// Time for a lost connection to come back before an idempotent attempt is moved. A connection
+/// is already lost only after 2 s of silence, so little more is spent on the same target.
+const RECONNECT_MS: Duration = Duration::from_millis(500);
+
+impl Requests {
+    pub(crate) fn connection_up(
+        &mut self,
+        cx: &mut Context,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        let earlier = self.runs_at(target, |known| known != incarnation);
+        self.connections.insert(target.clone(), incarnation);
+        for id in earlier {
+            self.attempt_lost(cx, id);
+        }
+        // If a dispatch was lost with the last connection, the agent answers `Rejected`, and does
+        // not take a copy of it any more.
+        for id in self.runs_at(target, |known| known == incarnation) {
+            self.send_resume(cx, id);
+        }
+        self.repeat_enquiries(cx, target);
+        self.pump_due = true;
+    }
+
+    pub(crate) fn connection_down(&mut self, cx: &mut Context, target: &TargetName) {
+        self.connections.remove(target);
+        for id in self.runs_at(target, |_| true) {
+            self.watch_connection(cx, id);
+        }
+    }
+
+    /// Gives a target without a connection some time, if the attempt can be moved.
+    pub(crate) fn watch_connection(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get(&id).filter(|run| run.idempotent) else {
+            return;
+        };
+        if let Some(attempt) = &run.attempt
+            && !self.connections.contains_key(&attempt.target)
+        {
+            let timer = Timer::Reconnect(attempt.id);
+            self.timers.insert((cx.now + RECONNECT_MS, timer));
+        }
+    }
+
+    /// The connection did not come back in time: moves an idempotent attempt.
+    pub(crate) fn reconnect_overdue(&mut self, cx: &mut Context, attempt: AttemptId) {
+        let Some(&id) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let connected = self
+            .runs
+            .get(&id)
+            .and_then(|run| run.attempt.as_ref())
+            .is_some_and(|current| self.connections.contains_key(&current.target));
+        if !connected {
+            self.attempt_lost(cx, id);
+        }
+    }
+
+    pub(crate) fn incarnation_gone(
+        &mut self,
+        cx: &mut Context,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        if self.connections.get(target) == Some(&incarnation) {
+            self.connections.remove(target);
+        }
+        for id in self.runs_at(target, |known| known == incarnation) {
+            self.attempt_lost(cx, id);
+        }
+        self.enquiries_lost(cx, target, incarnation);
+    }
+
+    fn attempt_lost(&mut self, cx: &mut Context, id: RequestId) {
+        self.cancel_attempt(cx, id, Settlement::Failed);
+        self.after_failure(cx, id, "the target was lost");
+    }
+
+    /// Runs with an attempt at some run of a target, in order of their ids.
+    fn runs_at(&self, target: &TargetName, of: impl Fn(Incarnation) -> bool) -> Vec<RequestId> {
+        let mut found: Vec<RequestId> = self
+            .attempts
+            .values()
+            .filter(|id| {
+                let attempt = self.runs.get(id).and_then(|run| run.attempt.as_ref());
+                attempt.is_some_and(|a| a.target == *target && of(a.incarnation))
+            })
+            .copied()
+            .collect();
+        found.sort_unstable();
+        found
+    }
+}
--- /dev/null
+++ b/components/request/src/submit.rs
@@ -0,0 +1,269 @@
+//! Admission of a request.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::smallvec;
+use types::KeylessPolicy;
+use types::Refusal;
+use types::RefusalReason;
+use types::Reply;
+use types::RequestId;
+use types::RunState;
+use types::Submission;
+use types::Usage;
+
+use crate::action::Action;
+use crate::action::Outcome;
+use crate::action::Summary;
+use crate::answer::Answer;
+use crate::claim::CLAIM_PREFIX;
+use crate::claim::STORED_ANSWER_LIMIT_BYTES;
+use crate::claim::claim_key;
+use crate::claim::work_digest;
+use crate::claims::key_reused;
+use crate::event::Terms;
+use crate::outcomes::refusal_in;
+use crate::outcomes::too_large;
+use crate::refusal::Ending;
+use crate::refusal::RETRY_MS;
+use crate::refusal::not_run;
+use crate::requests::Context;
+use crate::requests::Requests;
+use crate::requests::Timer;
+use crate::run::Claim;
+use crate::run::Phase;
+use crate::run::Run;
+use crate::run::Waiter;
+use crate::run::need_of;
+
+impl Requests {
+    pub(crate) fn submitted(
+        &mut self,
+        cx: &mut Context,
+        request: RequestId,
+        submission: Submission,
+        terms: Terms,
+    ) {
+        if let Some(refusal) = self.unacceptable(&submission, &terms) {
+            refuse_at_once(cx, request, &submission, refusal);
+            return;
+        }
+        let idempotent = submission.work.method.is_idempotent() || terms.profile.idempotent;
+        let mut run = new_run(cx.now, request, submission, terms, idempotent);
+        if !idempotent {
+            match self.claim_for(cx, &run) {
+                Some(claim) => run.claim = Some(claim),
+                None => return,
+            }
+            run.answer = Answer::keeping(STORED_ANSWER_LIMIT_BYTES);
+        }
+        self.admit(cx, run);
+    }
+
+    /// Claim of a new run, or `None` if the request was answered or has joined another run.
+    fn claim_for(&mut self, cx: &mut Context, run: &Run) -> Option<Claim> {
+        let submission = &run.submission;
+        let digest = work_digest(submission);
+        let Some(key) = &submission.key else {
+            if run.terms.profile.keyless == KeylessPolicy::Refuse {
+                let detail = "the request is not idempotent; send an Idempotency-Key";
+                let refusal = not_run(RefusalReason::KeyRequired, None, detail);
+                refuse_at_once(cx, run.id, submission, refusal);
+                return None;
+            }
+            let key = format!("{CLAIM_PREFIX}keyless-{:032x}", self.tokens.next());
+            return Some(new_claim(key, digest, false));
+        };
+        let key = claim_key(submission, key);
+        if let Some(&existing) = self.claimed.get(&key) {
+            self.join(cx, existing, run, &digest);
+            return None;
+        }
+        if self.answer_from_memory(cx, run.id, submission, &key, &digest) {
+            return None;
+        }
+        Some(new_claim(key, digest, true))
+    }
+
+    /// Lets a resend share the run of the first submission.
+    fn join(&mut self, cx: &mut Context, id: RequestId, resend: &Run, digest: &str) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let submission = &resend.submission;
+        if run
+            .claim
+            .as_ref()
+            .is_some_and(|claim| claim.digest != digest)
+        {
+            let refusal = key_reused().refusal(RunState::NotRun);
+            refuse_at_once(cx, resend.id, submission, refusal);
+            return;
+        }
+        if run.answer.kept().is_none() {
+            let refusal = too_large().refusal(RunState::Unknown);
+            refuse_at_once(cx, resend.id, submission, refusal);
+            return;
+        }
+        let deadline = resend.need.deadline;
+        run.need.deadline = run.need.deadline.max(deadline);
+        run.waiters.push(new_waiter(cx.now, resend.id, deadline));
+        self.waiting.insert(resend.id, id);
+        self.set_timer(deadline, Timer::Deadline(resend.id));
+        self.catch_up(cx, id, resend.id);
+    }
+
+    fn unacceptable(&self, submission: &Submission, terms: &Terms) -> Option<Refusal> {
+        let profile = &terms.profile;
+        let work = &submission.work;
+        if self.leaving {
+            let detail = "this entry is stopping; send the request again";
+            return Some(not_run(RefusalReason::Leaving, Some(RETRY_MS), detail));
+        }
+        if work.body.len() as u64 > profile.body_limit_bytes {
+            let detail = "the body is longer than the profile's body_limit_bytes";
+            return Some(not_run(RefusalReason::BadRequest, None, detail));
+        }
+        if work.max_output_tokens > profile.output_limit_tokens {
+            let detail = "max_tokens is above the profile's output_limit_tokens";
+            return Some(not_run(RefusalReason::BadRequest, None, detail));
+        }
+        None
+    }
+
+    /// Takes a run into the books and into its queue.
+    fn admit(&mut self, cx: &mut Context, run: Run) {
+        let id = run.id;
+        let service = run.need.service.clone();
+        for waiter in &run.waiters {
+            self.waiting.insert(waiter.request, id);
+            self.timers
+                .insert((waiter.deadline, Timer::Deadline(waiter.request)));
+        }
+        self.budgets
+            .entry(service)
+            .or_default()
+            .count_request(cx.now);
+        let claim = run.claim.as_ref();
+        let keyed = claim.filter(|claim| claim.keyed).map(|c| c.key.clone());
+        self.runs.insert(id, run);
+        match keyed {
+            Some(key) => {
+                self.claimed.insert(key, id);
+                self.read_claim(cx, id);
+            }
+            None => self.enqueue(cx, id),
+        }
+    }
+
+    /// Puts a run into the queue of its profile, or refuses it if it cannot be served from there.
+    pub(crate) fn enqueue(&mut self, cx: &mut Context, id: RequestId) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.phase = Phase::Queued;
+        let key = (run.need.service.clone(), run.terms.profile.name.clone());
+        let queue = self.queues.entry(key).or_default();
+        let (priority, deadline) = (run.need.priority, run.need.deadline);
+        let first_try = run.attempts == 0;
+        let limit = run.terms.profile.queue_limit.max(1) as usize;
+        let wait = queue.expected_wait(priority, deadline);
+        if first_try && (queue.len() >= limit || cx.now + wait >= deadline) {
+            let detail = "too many requests wait for this service";
+            let retry = wait.max(RETRY_MS);
+            let refusal = Ending::new(RefusalReason::Overloaded, Some(retry), detail);
+            self.refuse(cx, id, &refusal);
+            return;
+        }
+        queue.push(cx.now, id, priority, deadline, run.accepted);
+        self.pump_due = true;
+    }
+}
+
+fn new_run(
+    now: Instant,
+    request: RequestId,
+    submission: Submission,
+    terms: Terms,
+    idempotent: bool,
+) -> Run {
+    let limit = terms.profile.deadline_ms;
+    let deadline = now + submission.deadline_ms.map_or(limit, |ms| ms.min(limit));
+    Run {
+        id: request,
+        need: need_of(&submission, &terms, deadline),
+        submission,
+        terms,
+        idempotent,
+        waiters: smallvec![new_waiter(now, request, deadline)],
+        phase: Phase::Queued,
+        attempts: 0,
+        dispatches: 0,
+        tried: smallvec![],
+        attempt: None,
+        answer: Answer::default(),
+        claim: None,
+        accepted: now,
+        table_due: None,
+        touched: false,
+    }
+}
+
+fn new_claim(key: String, digest: String, keyed: bool) -> Claim {
+    Claim {
+        key,
+        digest,
+        version: 0,
+        held: None,
+        keyed,
+        contests: 0,
+    }
+}
+
+fn new_waiter(now: Instant, request: RequestId, deadline: Instant) -> Waiter {
+    Waiter {
+        request,
+        accepted: now,
+        deadline,
+        head_sent: false,
+        sent: 0,
+        consumed: 0,
+        first_byte_ms: None,
+    }
+}
+
+/// Refuses a request that never got into the books.
+pub(crate) fn refuse_at_once(
+    cx: &mut Context,
+    request: RequestId,
+    submission: &Submission,
+    refusal: Refusal,
+) {
+    reply_at_once(cx, request, submission, vec![Reply::Refused(refusal)]);
+}
+
+/// Answers a request that never got into the books.
+pub(crate) fn reply_at_once(
+    cx: &mut Context,
+    request: RequestId,
+    submission: &Submission,
+    replies: Vec<Reply>,
+) {
+    let outcome = match refusal_in(&replies) {
+        Some(refusal) => Outcome::Refused(refusal.reason),
+        None => Outcome::Answered,
+    };
+    let summary = Summary {
+        service: submission.work.service.clone(),
+        outcome,
+        targets: Vec::new(),
+        first_byte_ms: None,
+        total_ms: Duration::ZERO,
+        usage: Usage::default(),
+    };
+    for reply in replies {
+        cx.actions.push(Action::Reply { request, reply });
+    }
+    cx.actions.push(Action::Settled { request, summary });
+}
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 use types::AttemptId;
@@ -89,6 +90,7 @@
 }
 
 /// From an entry to an agent.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// Opens the connection.
@@ -100,6 +102,7 @@
         /// Attempt concerned.
         attempt: AttemptId,
         /// Next bytes.
+        #[serde_as(as = "Bytes")]
         bytes: Vec<u8>,
     },
     /// Send the answer again from an offset, on this connection.
@@ -145,6 +148,7 @@
 }
 
 /// From an agent to an entry.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
     /// Answers `Hello`.
@@ -186,6 +190,7 @@
         /// Position of the first byte.
         offset: u64,
         /// Bytes.
+        #[serde_as(as = "Bytes")]
         bytes: Vec<u8>,
     },
     /// The answer is whole.
@@ -235,7 +240,8 @@
 pub enum ToPeer {
     /// Opens the connection.
     Hello(Hello),
-    /// Asks for all changes after a revision; 0 asks for a snapshot.
+    /// Asks for all changes after a revision; 0 asks for a snapshot. The answer may be a
+    /// snapshot in both cases.
     ChangesAfter(Revision),
     /// Changes in order, as JSON records of the change log.
     Changes {
@@ -244,4 +250,15 @@
         /// JSON of each `Change`.
         records: Vec<String>,
     },
+    /// One part of a snapshot; a snapshot may be longer than one frame allows.
+    Snapshot {
+        /// Revision of the snapshot.
+        head: Revision,
+        /// Position of this part, from 0.
+        part: u32,
+        /// Number of parts.
+        parts: u32,
+        /// JSON of one `Change` for each item, in order of revision.
+        records: Vec<String>,
+    },
 }
