--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod decision;
 pub mod fluid;
+mod measure;
 pub mod mix;
 pub mod plan;
 pub mod settings;
--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -13,8 +13,9 @@
 use crate::decision::Figures;
 use crate::decision::Reason;
 use crate::decision::Verdict;
-use crate::fluid::ROLES;
 use crate::fluid::Roles;
+use crate::measure::Best;
+use crate::measure::Shift;
 use crate::mix::Mix;
 use crate::settings::Settings;
 use crate::targets::Availability;
@@ -52,33 +53,16 @@
     at: Instant,
 }
 
-/// A time in which changes in one direction look useful.
-#[derive(Debug, Clone, Copy)]
-struct Shift {
-    towards_prefill: bool,
-    since: Instant,
-    seen: Instant,
-}
-
-/// The best single change.
-#[derive(Debug, Clone, Copy)]
-struct Best {
-    from: Role,
-    to: Role,
-    gain: f64,
-    capacity: f64,
-}
-
 /// Planner of one service.
 #[derive(Debug)]
 pub struct Planner {
-    settings: Settings,
-    mix: Mix,
+    pub(crate) settings: Settings,
+    pub(crate) mix: Mix,
     counted: HashMap<AttemptId, Counted>,
     availability: Availability,
     pending: Option<Ordered>,
     last: Option<Ordered>,
-    shift: Option<Shift>,
+    pub(crate) shift: Option<Shift>,
     reason: Option<Reason>,
 }
 
@@ -224,80 +208,6 @@
         })
     }
 
-    /// Fills in the figures, follows the shift and finds the best change.
-    fn measure(
-        &mut self,
-        now: Instant,
-        open: &[&TargetView],
-        figures: &mut Figures,
-    ) -> Option<Best> {
-        figures.fast = self.scaled(&self.mix.fast());
-        figures.slow = self.scaled(&self.mix.slow());
-        for view in open {
-            figures.roles.add(view.role);
-        }
-        let rates = &self.settings.rates;
-        figures.capacity = figures.roles.capacity(&figures.fast, rates);
-        let best = self.best_change(figures);
-        let Some(best) = best.filter(|best| best.gain >= self.settings.least_gain) else {
-            self.shift = self.shift.filter(|shift| self.is_recent(now, shift));
-            return None;
-        };
-        let towards_prefill = Roles::position(best.to) < Roles::position(best.from);
-        let shift = self
-            .shift
-            .filter(|shift| shift.towards_prefill == towards_prefill && self.is_recent(now, shift));
-        let since = shift.map_or(now, |shift| shift.since);
-        self.shift = Some(Shift {
-            towards_prefill,
-            since,
-            seen: now,
-        });
-        figures.capacity_after = best.capacity;
-        figures.gain_fast = best.gain;
-        figures.shift_s = now.saturating_duration_since(since).as_secs_f64();
-        let after = figures.roles.with_change(best.from, best.to);
-        let before = figures.roles.capacity(&figures.slow, rates);
-        figures.gain_slow = self.gain(figures.roles, before, after.capacity(&figures.slow, rates));
-        Some(best)
-    }
-
-    /// Whether the shift was seen lately; the fast estimate is noisy, so it may miss it for a while.
-    fn is_recent(&self, now: Instant, shift: &Shift) -> bool {
-        now.saturating_duration_since(shift.seen) <= self.settings.grace_ms
-    }
-
-    fn best_change(&self, figures: &Figures) -> Option<Best> {
-        let rates = &self.settings.rates;
-        let mut best: Option<Best> = None;
-        for from in ROLES {
-            for to in ROLES {
-                if from == to || figures.roles.0[Roles::position(from)] == 0 {
-                    continue;
-                }
-                let after = figures.roles.with_change(from, to);
-                let capacity = after.capacity(&figures.fast, rates);
-                let gain = self.gain(figures.roles, figures.capacity, capacity);
-                if best.is_none_or(|best| gain > best.gain) {
-                    best = Some(Best {
-                        from,
-                        to,
-                        gain,
-                        capacity,
-                    });
-                }
-            }
-        }
-        best
-    }
-
-    /// Engines' worth of work gained. Capacity beyond the headroom is worth nothing.
-    fn gain(&self, roles: Roles, before: f64, after: f64) -> f64 {
-        let headroom = self.settings.headroom;
-        let share = (after.min(headroom) - before.min(headroom)) / headroom;
-        f64::from(roles.total()) * share
-    }
-
     /// Weighs the gain against the seconds lost.
     fn weigh(
         &self,
@@ -369,15 +279,6 @@
         })
     }
 
-    fn scaled(&self, demand: &crate::Demand) -> crate::Demand {
-        let mut scaled = *demand;
-        for rate in [&mut scaled.prefill_class, &mut scaled.decode_class] {
-            rate.prefill /= self.settings.traffic_share;
-            rate.decode /= self.settings.traffic_share;
-        }
-        scaled
-    }
-
     fn note_progress(&mut self, now: Instant, targets: &[TargetView]) {
         let Some(ordered) = &self.pending else {
             return;
