--- a/components/planner/tests/decisions.rs
+++ b/components/planner/tests/decisions.rs
@@ -195,3 +195,19 @@
     let news = (0..19).filter(|_| world.second(0.2, 0.2).is_news).count();
     assert_eq!(news, 1);
 }
+
+#[test]
+fn refused_work_counts_as_demand() {
+    let capacity = |refused: bool| {
+        let mut world = World::new(&[0, 1, 1, 1, 2, 2, 2, 2, 2]);
+        world.weight = 1e6;
+        for _ in 0..60 {
+            if refused {
+                world.planner.refused(world.now, 60_000.0, 0.0);
+            }
+            world.second(0.3, 0.3);
+        }
+        world.second(0.3, 0.3).figures.capacity
+    };
+    assert!(capacity(true) < capacity(false));
+}
