--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -235,6 +235,17 @@
         if !is_confirmed {
             return;
         }
+        // An order of an earlier run may have repaired the engine in the meantime. Passing
+        // another one would leave it under way, unseen by the next run, if this one is killed.
+        let is_repaired = change.is_repair
+            && change.wanted.as_ref().is_some_and(|wanted| {
+                let state = self.engine.state();
+                state.is_some_and(|state| wanted.repair(state).is_none())
+            });
+        if is_repaired {
+            self.change = None;
+            return;
+        }
         change.enter(now, Stage::Passing);
         let order = change.to_pass();
         out.push(Action::Log(Note::OrderPassed {
--- a/components/agent/tests/orders/main.rs
+++ b/components/agent/tests/orders/main.rs
@@ -123,6 +123,25 @@
     assert_eq!(world.target().map(|target| target.applied), Some(1));
 }
 
+/// Guards against a repair that is passed although an order of the last run has made it: if this
+/// run is killed then, the next one takes work that the order on its way cuts off.
+#[test]
+fn passes_no_repair_to_an_engine_that_was_repaired_meanwhile() {
+    let mut world = World::new();
+    world.wait(Duration::from_secs(1));
+    world.give(role(Role::Decode), false);
+    world.wait(Duration::from_secs(10));
+    let order = world.order().expect("given");
+    world.crash(100);
+    world.restart();
+    world.wait(Duration::from_secs(1));
+    assert!(world.agent.load().away);
+    world.obey(order);
+    world.wait(SETTLE_MS + Duration::from_secs(5));
+    assert_eq!(world.engine.obeyed.len(), 2);
+    assert!(!world.agent.load().away);
+}
+
 /// Guards against two runs of an agent that both give orders or take work.
 #[test]
 fn ends_when_another_run_takes_the_target() {
