--- a/components/fakes/src/table.rs
+++ b/components/fakes/src/table.rs
@@ -98,6 +98,20 @@
         self.rows.borrow().get(key)
     }
 
+    /// Counts the rows whose key starts with `prefix`, without any fault.
+    #[must_use]
+    pub fn count(&self, prefix: &str) -> usize {
+        let scan = TableRequest::Scan {
+            prefix: prefix.to_owned(),
+            after: String::new(),
+            limit: usize::MAX,
+        };
+        match self.rows.borrow_mut().apply(&scan) {
+            TableReply::Rows(rows) => rows.len(),
+            TableReply::Commit(_) => 0,
+        }
+    }
+
     /// Applies the writes whose late effect is due.
     pub fn run_late(&self) {
         let now = self.clock.now();
--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use entry::core::EntryCore;
+use request::claim::CLAIM_PREFIX;
 use serde_json::json;
 use types::Incarnation;
 use types::Order;
@@ -244,6 +245,7 @@
             "orders_accepted": facts.order_checks,
             "orders_obeyed": self.ledger.borrow().obeyed.len(),
             "orders_fenced": self.ledger.borrow().fenced,
+            "claims_left": self.table.count(CLAIM_PREFIX),
             "planned_orders_accepted": facts.planned_checks,
             "commands_done": facts.commands_done,
         })
--- a/examples/soak/world.rs
+++ b/examples/soak/world.rs
@@ -194,6 +194,10 @@
     }
 
     pub fn note(&mut self, line: &str) {
+        // The trace ends with what led to the first violation.
+        if !self.violations.is_empty() {
+            return;
+        }
         let at = self.now().duration_since(self.start).as_secs_f64();
         if self.trace.len() >= TRACE_LINES {
             self.trace.pop_front();
