--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -143,8 +143,8 @@
 # --- profiles of both users ----------------------------------------------------------------
 
 export CHERVILSPOOL_ENTRY=$control1 CHERVILSPOOL_TOKEN_FILE=$work/token
-"$bin" profile create logbook --set model=demo --set version=1 --set priority=5 --set deadline_ms=60000 --set role_change_weight=4 --reason "season logbooks of El Bolson" >/dev/null
-"$bin" profile create pitch-draft --set model=demo --set version=1 --set priority=2 --set deadline_ms=30000 --set role_change_weight=0.5 --reason "pitch books of Kitagawa" >/dev/null
+"$bin" profile create logbook --set model=demo --set version=1 --set priority=5 --set deadline_ms=60000 --set role_change_weight=6 --reason "season logbooks of El Bolson" >/dev/null
+"$bin" profile create pitch-draft --set model=demo --set version=1 --set priority=2 --set deadline_ms=30000 --set role_change_weight=0.7 --reason "pitch books of Kitagawa" >/dev/null
 "$bin" profile create work-order --set idempotent=false --set deadline_ms=10000 --reason "mule-team work orders" >/dev/null
 "$bin" service set modelos-bitacora --kind model --profile logbook >/dev/null
 "$bin" service set draft-models --kind model --profile pitch-draft >/dev/null
