--- a/components/agent/src/answer.rs
+++ b/components/agent/src/answer.rs
@@ -15,15 +15,27 @@
     base: u64,
     bytes: VecDeque<u8>,
     digest: AnswerDigest,
+    /// Length and digest once the answer is whole.
+    sealed: Option<(u64, Digest)>,
 }
 
 impl Answer {
     /// Takes the next bytes from the target.
     pub fn push(&mut self, bytes: &[u8]) {
+        debug_assert!(self.sealed.is_none(), "bytes after the end of an answer");
         self.digest.push(bytes);
         self.bytes.extend(bytes);
     }
 
+    /// No more bytes follow. Frees the 1.9 KB of the running digest, because finished answers are
+    /// kept in thousands.
+    pub fn seal(&mut self) {
+        if self.sealed.is_none() {
+            self.sealed = Some((self.digest.length(), self.digest.digest()));
+            self.digest = AnswerDigest::default();
+        }
+    }
+
     /// Position of the first byte still held.
     #[must_use]
     pub fn base(&self) -> u64 {
@@ -33,7 +45,8 @@
     /// Bytes received from the target so far.
     #[must_use]
     pub fn length(&self) -> u64 {
-        self.digest.length()
+        self.sealed
+            .map_or_else(|| self.digest.length(), |(length, _)| length)
     }
 
     /// Bytes held.
@@ -45,7 +58,8 @@
     /// Digest of all bytes received so far.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        self.digest.digest()
+        self.sealed
+            .map_or_else(|| self.digest.digest(), |(_, digest)| digest)
     }
 
     /// Copies at most `limit_bytes` from `offset`, which must not be below `base`.
--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -22,6 +22,7 @@
 use crate::memory::Fate;
 use crate::memory::Memory;
 use crate::report::Note;
+use crate::usage::Tail;
 
 /// Idempotent attempts remembered after their start; at 2,000 requests a second this covers the
 /// seconds in which an entry replaces a silent connection and resumes.
@@ -258,6 +259,8 @@
         };
         self.runs.remove(&attempt.run);
         attempt.phase = phase;
+        attempt.answer.seal();
+        attempt.tail = Tail::default();
         attempt.counted_bytes = attempt.answer.held_bytes();
         self.kept_bytes += attempt.counted_bytes;
         self.finished[usize::from(attempt.idempotent)].push_back((now, id));
