--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use async_h1::client::Encoder;
-use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWrite;
 use futures_lite::FutureExt;
@@ -22,6 +21,7 @@
 use smol::net::TcpStream;
 
 use crate::error::ClientError;
+use crate::input::Input;
 use crate::limits::ClientLimits;
 use crate::response;
 use crate::response::StreamingResponse;
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Idle {
     pub(crate) stream: TcpStream,
+    pub(crate) receiving: Input,
     pub(crate) watchdog: Watchdog,
     pub(crate) since: Instant,
 }
@@ -50,6 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
+    pub(crate) receiving: Input,
     pub(crate) watchdog: Watchdog,
     reused: bool,
 }
@@ -135,6 +137,7 @@
             if idle.since.elapsed() < self.limits.idle_ms && is_open(&mut idle.stream).await {
                 return Ok(Connection {
                     stream: idle.stream,
+                    receiving: idle.receiving,
                     watchdog: idle.watchdog,
                     reused: true,
                 });
@@ -154,6 +157,7 @@
         let stream = connect.or(give_up).await?;
         let _ = stream.set_nodelay(true);
         Ok(Connection {
+            receiving: Input::new(&stream),
             stream,
             watchdog: Watchdog::default(),
             reused: false,
@@ -215,7 +219,7 @@
 ) -> Result<usize, ClientError> {
     poll_fn(|cx| {
         let mut chunk = [0; 16 << 10];
-        match Pin::new(&mut connection.stream).poll_read(cx, &mut chunk) {
+        match connection.receiving.poll_read(cx, &mut chunk) {
             Poll::Ready(Ok(count)) => {
                 input.extend_from_slice(&chunk[..count]);
                 Poll::Ready(Ok(count))
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -11,7 +11,6 @@
 use std::task::Poll;
 
 use async_h1::server::Encoder;
-use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWrite;
 use futures_lite::future;
@@ -24,6 +23,7 @@
 use smol::net::TcpStream;
 
 use crate::error::HungUp;
+use crate::input::Input;
 use crate::limits::ServerLimits;
 use crate::watchdog::Watchdog;
 
@@ -56,6 +56,7 @@
     /// Bytes of bodies held by all connections of the server.
     pub(crate) held_bodies: Rc<Cell<usize>>,
     output: Vec<u8>,
+    receiving: Input,
 }
 
 impl Exchange {
@@ -66,6 +67,7 @@
         held_bodies: Rc<Cell<usize>>,
     ) -> Self {
         Self {
+            receiving: Input::new(&stream),
             stream,
             peer,
             limits,
@@ -249,7 +251,7 @@
         cx: &mut std::task::Context<'_>,
     ) -> Poll<io::Result<usize>> {
         let mut chunk = [0; 8 << 10];
-        let read = Pin::new(&mut self.stream).poll_read(cx, &mut chunk);
+        let read = self.receiving.poll_read(cx, &mut chunk);
         if let Poll::Ready(Ok(count)) = read {
             self.input.extend_from_slice(&chunk[..count]);
         }
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -17,6 +17,7 @@
 mod error;
 mod exchange;
 mod head;
+mod input;
 mod limits;
 mod problem;
 mod response;
--- a/components/http/src/response.rs
+++ b/components/http/src/response.rs
@@ -112,6 +112,7 @@
     fn keep(&mut self) {
         let Some(Connection {
             stream,
+            receiving,
             mut watchdog,
             ..
         }) = self.connection.take()
@@ -123,6 +124,7 @@
             watchdog.clear();
             pool.push(Idle {
                 stream,
+                receiving,
                 watchdog,
                 since: Instant::now(),
             });
