--- a/components/callers/tests/prompt.rs
+++ b/components/callers/tests/prompt.rs
@@ -24,6 +24,16 @@
     assert!(!prompt.stream);
 }
 
+// Guards against a nested body that overflows the stack.
+#[test]
+fn deeply_nested_bodies_give_typed_errors() {
+    for open in ["[", "{\"prompt\":", "{\"messages\":[", "{\"x\":["] {
+        let body = open.repeat(100_000);
+        let problem = parse_prompt(body.as_bytes(), true, 100).unwrap_err();
+        assert_eq!(problem.status, 400, "nested {open}");
+    }
+}
+
 // Guards against hashes that cannot match the cache of an earlier request.
 #[test]
 fn prompts_with_a_common_start_share_its_hashes() {
--- a/components/http/tests/decoders.rs
+++ b/components/http/tests/decoders.rs
@@ -29,6 +29,26 @@
         out.len() <= bytes.len()
     }
 
+    // Guards against damage in the framing of a real body.
+    fn mutated_chunks_neither_panic_nor_grow(changes: Vec<(usize, u8)>) -> bool {
+        let mut bytes = b"5;x=y\r\nhello\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n".to_vec();
+        for (at, byte) in changes {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        let mut out = Vec::new();
+        let _ = BodyDecoder::new(Framing::Chunked).decode(&bytes, &mut out);
+        out.len() <= bytes.len()
+    }
+
+    // Guards against memory reserved for a chunk that is only announced.
+    fn huge_announced_chunks_reserve_no_memory(digits: u8) -> bool {
+        let bytes = format!("{}\r\nx", "f".repeat(usize::from(digits % 15) + 1));
+        let mut out = Vec::new();
+        let _ = BodyDecoder::new(Framing::Chunked).decode(bytes.as_bytes(), &mut out);
+        out.capacity() <= 64
+    }
+
     // Guards against a decoder whose result depends on how the bytes arrive.
     fn chunks_decode_alike_in_any_split(parts: Vec<Vec<u8>>, split: usize) -> bool {
         let mut encoded = Vec::new();
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -168,7 +168,21 @@
     assert_eq!(old.reloaded(&moved).unwrap_err().field, "addresses");
 }
 
+// Guards against a nested file that overflows the stack.
+#[test]
+fn deeply_nested_files_give_typed_errors() {
+    for open in ["[", "{\"limits\":"] {
+        let error = parse("f", &open.repeat(100_000)).unwrap_err();
+        assert!(!error.fix.is_empty(), "nested {open}");
+    }
+}
+
 quickcheck! {
+    fn random_files_give_typed_errors(bytes: Vec<u8>) -> bool {
+        parse("f", &String::from_utf8_lossy(&bytes))
+            .map_or_else(|error| !error.fix.is_empty(), |_| true)
+    }
+
     fn mutated_files_give_typed_errors(changes: Vec<(usize, u8)>) -> bool {
         let mut bytes = ENTRY.as_bytes().to_vec();
         for (at, byte) in changes {
