--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod decision;
 pub mod fluid;
+mod measure;
 pub mod mix;
 pub mod plan;
 pub mod settings;
@@ -19,6 +20,7 @@
 pub use fluid::Roles;
 pub use mix::Demand;
 pub use mix::Mix;
+pub use plan::Ended;
 pub use plan::Planner;
 pub use settings::Mechanisms;
 pub use settings::Settings;
--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -1,7 +1,6 @@
 //! The planner of one service.
 
 use std::collections::HashMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use routing::TargetView;
@@ -14,8 +13,9 @@
 use crate::decision::Figures;
 use crate::decision::Reason;
 use crate::decision::Verdict;
-use crate::fluid::ROLES;
 use crate::fluid::Roles;
+use crate::measure::Best;
+use crate::measure::Shift;
 use crate::mix::Mix;
 use crate::settings::Settings;
 use crate::targets::Availability;
@@ -33,6 +33,17 @@
     decode: f64,
 }
 
+/// How an attempt ended, as far as it concerns the demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Its usage replaces what was expected of it.
+    Answered(Usage),
+    /// Another attempt takes its place.
+    TriedAgain,
+    /// It was demanded and did not get its whole answer.
+    Unserved,
+}
+
 /// A change that was ordered.
 #[derive(Debug, Clone)]
 struct Ordered {
@@ -42,25 +53,16 @@
     at: Instant,
 }
 
-/// The best single change.
-#[derive(Debug, Clone, Copy)]
-struct Best {
-    from: Role,
-    to: Role,
-    gain: f64,
-    capacity: f64,
-}
-
 /// Planner of one service.
 #[derive(Debug)]
 pub struct Planner {
-    settings: Settings,
-    mix: Mix,
+    pub(crate) settings: Settings,
+    pub(crate) mix: Mix,
     counted: HashMap<AttemptId, Counted>,
     availability: Availability,
     pending: Option<Ordered>,
     last: Option<Ordered>,
-    shift: Option<(bool, Instant)>,
+    pub(crate) shift: Option<Shift>,
     reason: Option<Reason>,
 }
 
@@ -91,15 +93,19 @@
         self.counted.insert(attempt, counted);
     }
 
-    /// An attempt ended; its usage replaces what was expected of it.
-    pub fn settled(&mut self, now: Instant, attempt: AttemptId, usage: Option<Usage>) {
+    /// An attempt ended.
+    pub fn settled(&mut self, now: Instant, attempt: AttemptId, ended: Ended) {
         let Some(counted) = self.counted.remove(&attempt) else {
             return;
         };
-        let (prefill, decode) = usage.map_or((0.0, 0.0), |usage| {
-            let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
-            (f64::from(prefill), f64::from(usage.output_tokens))
-        });
+        let (prefill, decode) = match ended {
+            Ended::Answered(usage) => {
+                let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+                (f64::from(prefill), f64::from(usage.output_tokens))
+            }
+            Ended::TriedAgain => (0.0, 0.0),
+            Ended::Unserved => return,
+        };
         let class = counted.prefill_class;
         self.mix.add(
             now,
@@ -109,6 +115,13 @@
         );
     }
 
+    /// A request was refused for lack of capacity. It is part of the demand; without it, a service
+    /// in the wrong roles would look as if it had capacity to spare.
+    pub fn refused(&mut self, now: Instant, prefill: f64, decode: f64) {
+        let class = self.mix.is_prefill(prefill, decode);
+        self.mix.add(now, class, prefill, decode);
+    }
+
     /// The order of the last change could not be written.
     pub fn order_failed(&mut self) {
         self.pending = None;
@@ -195,71 +208,6 @@
         })
     }
 
-    /// Fills in the figures, follows the shift and finds the best change.
-    fn measure(
-        &mut self,
-        now: Instant,
-        open: &[&TargetView],
-        figures: &mut Figures,
-    ) -> Option<Best> {
-        figures.fast = self.scaled(&self.mix.fast());
-        figures.slow = self.scaled(&self.mix.slow());
-        for view in open {
-            figures.roles.add(view.role);
-        }
-        let rates = &self.settings.rates;
-        figures.capacity = figures.roles.capacity(&figures.fast, rates);
-        let best = self.best_change(figures);
-        let Some(best) = best.filter(|best| best.gain >= self.settings.least_gain) else {
-            self.shift = None;
-            return None;
-        };
-        let towards_prefill = Roles::position(best.to) < Roles::position(best.from);
-        let since = match self.shift {
-            Some((direction, since)) if direction == towards_prefill => since,
-            _ => now,
-        };
-        self.shift = Some((towards_prefill, since));
-        figures.capacity_after = best.capacity;
-        figures.gain_fast = best.gain;
-        figures.shift_s = now.saturating_duration_since(since).as_secs_f64();
-        let after = figures.roles.with_change(best.from, best.to);
-        let before = figures.roles.capacity(&figures.slow, rates);
-        figures.gain_slow = self.gain(figures.roles, before, after.capacity(&figures.slow, rates));
-        Some(best)
-    }
-
-    fn best_change(&self, figures: &Figures) -> Option<Best> {
-        let rates = &self.settings.rates;
-        let mut best: Option<Best> = None;
-        for from in ROLES {
-            for to in ROLES {
-                if from == to || figures.roles.0[Roles::position(from)] == 0 {
-                    continue;
-                }
-                let after = figures.roles.with_change(from, to);
-                let capacity = after.capacity(&figures.fast, rates);
-                let gain = self.gain(figures.roles, figures.capacity, capacity);
-                if best.is_none_or(|best| gain > best.gain) {
-                    best = Some(Best {
-                        from,
-                        to,
-                        gain,
-                        capacity,
-                    });
-                }
-            }
-        }
-        best
-    }
-
-    /// Engines' worth of work gained. Capacity beyond the headroom is worth nothing.
-    fn gain(&self, roles: Roles, before: f64, after: f64) -> f64 {
-        let headroom = self.settings.headroom;
-        let share = (after.min(headroom) - before.min(headroom)) / headroom;
-        f64::from(roles.total()) * share
-    }
-
     /// Weighs the gain against the seconds lost.
     fn weigh(
         &self,
@@ -278,7 +226,6 @@
         } else {
             0.0
         };
-        figures.gain_s = best.gain * figures.shift_s + figures.gain_slow * later_s;
         let away_s = self.settings.away_ms.as_secs_f64();
         let lost_s = away_s + DRAIN_LOSS * self.drain_s(target);
         let reversal = self.reverses(now, best);
@@ -288,6 +235,9 @@
             1.0
         };
         figures.cost_s = lost_s * weight * factor;
+        // If the old mix comes back, the change can be reversed for what it cost.
+        let later = (figures.gain_slow * later_s).max(-lost_s * weight);
+        figures.gain_s = best.gain * figures.shift_s + later;
         if mechanisms.patience && figures.shift_s < fast_s {
             return Err(Reason::Patience);
         }
@@ -329,15 +279,6 @@
         })
     }
 
-    fn scaled(&self, demand: &crate::Demand) -> crate::Demand {
-        let mut scaled = *demand;
-        for rate in [&mut scaled.prefill_class, &mut scaled.decode_class] {
-            rate.prefill /= self.settings.traffic_share;
-            rate.decode /= self.settings.traffic_share;
-        }
-        scaled
-    }
-
     fn note_progress(&mut self, now: Instant, targets: &[TargetView]) {
         let Some(ordered) = &self.pending else {
             return;
@@ -361,11 +302,4 @@
         self.last = Some(ordered.clone());
         self.pending = Some(ordered);
     }
-
-    /// Time for which a change in the same direction has looked useful.
-    #[must_use]
-    pub fn shift_ms(&self, now: Instant) -> Option<Duration> {
-        let (_, since) = self.shift?;
-        Some(now.saturating_duration_since(since))
-    }
 }
