--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -284,12 +284,15 @@
         let host = self.agents[at].host.clone();
         if self.chance(500) {
             self.did("host list calls a host leaving", &at.to_string());
+            // A host that is left out is not seen as leaving.
+            self.hosts.set_missing(&host, false);
             self.hosts.set_named_leaving(&host, true);
             let now = self.now();
             self.agents[at].listed_leaving.get_or_insert(now);
         } else {
             self.did("host list leaves a host out", &at.to_string());
             self.hosts.set_missing(&host, true);
+            self.agents[at].listed_leaving = None;
         }
         let delay = self.millis(2_000, 10_000);
         self.after(delay, Happening::Repair(Repair::HostList(at)));
