--- a/components/entry/src/core/configuration.rs
+++ b/components/entry/src/core/configuration.rs
@@ -94,7 +94,7 @@
             }
             self.shares.set(&target.value);
             if self.shares.contains(name) {
-                self.router.target_set(now, &target.value);
+                self.router.fleet.target_set(now, &target.value);
             }
             if self.shares.contains(name) || self.outside.contains_key(name) {
                 self.connect(now, snapshot, name, actions);
@@ -110,7 +110,7 @@
         for name in gone {
             self.shares.remove(&name);
             self.outside.remove(&name);
-            self.router.target_removed(&name);
+            self.router.fleet.target_removed(&name);
             let links = self.links.remove(now, &name);
             self.carry_out_links(now, links, actions);
         }
@@ -158,12 +158,12 @@
         for entry in entries {
             match entry.state {
                 HostState::Leaving => {
-                    self.router.host_leaving(now, &entry.host);
+                    self.router.fleet.host_leaving(now, &entry.host);
                     self.leaving_hosts.insert(entry.host);
                 }
                 HostState::Live => {
                     if self.leaving_hosts.remove(&entry.host) {
-                        self.router.host_live(now, &entry.host);
+                        self.router.fleet.host_live(now, &entry.host);
                     }
                 }
             }
--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -49,8 +49,13 @@
             .terms
             .iter()
             .map(|(name, terms)| {
-                let targets: Vec<Value> =
-                    self.router.views(now, name).iter().map(describe).collect();
+                let targets: Vec<Value> = self
+                    .router
+                    .fleet
+                    .views(now, name)
+                    .iter()
+                    .map(describe)
+                    .collect();
                 json!({
                     "service": name,
                     "profile": terms.profile.name,
@@ -95,7 +100,7 @@
         let snapshot = self.follower.snapshot()?;
         let target = snapshot.target(name)?;
         let service = &target.value.service;
-        let views = self.router.views(now, service);
+        let views = self.router.fleet.views(now, service);
         let view = views.iter().find(|view| view.name == name);
         let order = snapshot.order(name);
         Some(json!({
@@ -123,7 +128,7 @@
             concurrency_limit: terms.profile.concurrency_limit,
             cache_affinity: terms.profile.cache_affinity,
         };
-        let candidates = self.router.explain(now, &need);
+        let candidates = self.router.fleet.explain(now, &need);
         let describe = |candidate: &routing::Candidate| {
             json!({
                 "target": candidate.target,
--- a/components/entry/src/core/router.rs
+++ b/components/entry/src/core/router.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::ops::Deref;
-use std::ops::DerefMut;
 use std::time::Instant;
 
 use planner::Decision;
@@ -32,7 +30,8 @@
 ///
 /// Every entry measures, so that an entry which takes over a lease plans from what it has seen.
 pub struct PlanningRouter {
-    fleet: Fleet,
+    /// Targets and their load.
+    pub fleet: Fleet,
     planning: planner::Settings,
     seats: BTreeMap<ServiceName, Seat>,
     attempts: HashMap<AttemptId, ServiceName>,
@@ -70,20 +69,6 @@
     }
 }
 
-impl Deref for PlanningRouter {
-    type Target = Fleet;
-
-    fn deref(&self) -> &Fleet {
-        &self.fleet
-    }
-}
-
-impl DerefMut for PlanningRouter {
-    fn deref_mut(&mut self) -> &mut Fleet {
-        &mut self.fleet
-    }
-}
-
 impl Router for PlanningRouter {
     fn choose(&mut self, now: Instant, need: &Need, exclude: &[TargetName]) -> Choice {
         let choice = self.fleet.choose(now, need, exclude);
--- a/components/entry/src/core/sharing.rs
+++ b/components/entry/src/core/sharing.rs
@@ -39,7 +39,7 @@
     pub(super) fn refresh_share(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let change = self.shares.refresh();
         for name in change.removed {
-            self.router.target_removed(&name);
+            self.router.fleet.target_removed(&name);
             // The connection stays while an attempt is in flight.
             self.outside.entry(name).or_insert(now);
         }
@@ -49,7 +49,7 @@
         for name in change.added {
             self.outside.remove(&name);
             if let Some(target) = snapshot.target(&name) {
-                self.router.target_set(now, &target.value);
+                self.router.fleet.target_set(now, &target.value);
             }
             self.connect(now, &snapshot, &name, actions);
         }
@@ -119,7 +119,7 @@
                 same(&profile.model, &loaded.model) && same(&profile.version, &loaded.version)
             })
         };
-        let views = self.router.views(now, service);
+        let views = self.router.fleet.views(now, service);
         let open = views.into_iter().filter(|v| v.standing == Standing::Open);
         open.map(|view| view.name).filter(fits).collect()
     }
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -123,12 +123,15 @@
         let Some((target, incarnation)) = self.links.heard(now, link) else {
             return;
         };
-        self.router.probe_answered(now, &target, incarnation);
+        self.router.fleet.probe_answered(now, &target, incarnation);
         if let Some(load) = report::load_of(&message) {
-            self.router.load_report(now, &target, load);
+            self.router.fleet.load_report(now, &target, load);
         }
         match message {
-            ToEntry::Cache(events) => self.router.cache_events(&target, incarnation, &events),
+            ToEntry::Cache(events) => self
+                .router
+                .fleet
+                .cache_events(&target, incarnation, &events),
             ToEntry::Load(_) | ToEntry::Pong { .. } | ToEntry::Welcome { .. } => {}
             message => {
                 let event = request::Event::Agent {
@@ -197,7 +200,7 @@
                     self.tell_requests(now, event, actions);
                 }
                 LinkAction::Down { target } => {
-                    self.router.unreachable(now, &target);
+                    self.router.fleet.unreachable(now, &target);
                     let event = request::Event::ConnectionDown { target };
                     self.tell_requests(now, event, actions);
                 }
@@ -240,8 +243,10 @@
     }
 
     fn alive(&mut self, now: Instant, target: &str, load: &LoadReport) {
-        self.router.probe_answered(now, target, load.incarnation);
-        self.router.load_report(now, target, load);
+        self.router
+            .fleet
+            .probe_answered(now, target, load.incarnation);
+        self.router.fleet.load_report(now, target, load);
     }
 }
 
