--- a/components/entry/src/core/options.rs
+++ b/components/entry/src/core/options.rs
@@ -18,12 +18,16 @@
     pub follower: FollowerOptions,
     /// Times of the connections.
     pub links: LinkTimes,
+    /// Targets of a service that the entry uses.
+    pub share_targets: usize,
     /// Between two probes of a target.
     pub probe_ms: Duration,
     /// Between two reads of the host list.
     pub hosts_poll_ms: Duration,
     /// Duration of a lease.
     pub lease_ms: Duration,
+    /// Own address for peers.
+    pub address: SocketAddr,
     /// Addresses of the other entries.
     pub peers: Vec<SocketAddr>,
 }
