--- /dev/null
+++ b/components/entry/tests/common/mod.rs
@@ -0,0 +1,67 @@
+//! Values that the tests of the core share.
+
+use std::net::SocketAddr;
+
+use types::Incarnation;
+use types::LoadReport;
+use types::Loaded;
+use types::Method;
+use types::Role;
+use types::ServiceKind;
+use types::Target;
+use types::TargetState;
+use types::Work;
+
+/// A short question to the service `mesa`.
+pub fn work() -> Work {
+    Work {
+        service: "mesa".to_owned(),
+        method: Method::Post,
+        path: "/v1/completions".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+        stream: false,
+        model: String::new(),
+        prompt_tokens: 20,
+        max_output_tokens: 10,
+        prefixes: Vec::new(),
+    }
+}
+
+/// Report of an idle target.
+pub fn load(incarnation: Incarnation) -> LoadReport {
+    LoadReport {
+        incarnation,
+        sequence: 1,
+        age_ms: 0,
+        running: 0,
+        queued: 0,
+        prefill_backlog_tokens: 0,
+        decode_backlog_tokens: 0,
+        received: 0,
+        cache_used_permille: 0,
+        role: Role::Mixed,
+        loaded: Loaded::default(),
+        applied: 0,
+        leaving: false,
+        away: false,
+    }
+}
+
+/// Engine of the service `mesa`.
+pub fn target(index: u16, agent: SocketAddr, incarnation: Incarnation) -> Target {
+    Target {
+        name: format!("engine-{index}"),
+        service: "mesa".to_owned(),
+        kind: ServiceKind::Model,
+        place: "lago-puelo".to_owned(),
+        host: format!("host-{index}"),
+        agent,
+        incarnation,
+        honours_fencing: true,
+        state: TargetState::Active,
+        role: Role::Mixed,
+        loaded: Loaded::default(),
+        applied: 0,
+    }
+}
