--- a/components/control/src/lease.rs
+++ b/components/control/src/lease.rs
@@ -9,6 +9,8 @@
 //! others observe it: they look at the row rarely, and take it over when it did not change
 //! between two looks, so that a lease is still taken when all candidates are gone.
 
+mod event;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,7 +25,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use types::FencingNumber;
 use types::Incarnation;
 
 use crate::keys;
@@ -31,50 +32,9 @@
 use crate::rows::LeaseRow;
 use crate::rows::decode;
 
-/// A lease as its holder last wrote it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HeldLease {
-    /// Service, or `sweep`.
-    pub scope: String,
-    /// Run of the entry that holds it.
-    pub holder: Incarnation,
-    /// Number that orders under the lease carry.
-    pub fencing: FencingNumber,
-    /// Version of the row.
-    pub version: RowVersion,
-}
-
-/// What a lease is told.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum LeaseEvent {
-    /// Time passed.
-    Tick,
-    /// A table request ended.
-    TableDone {
-        /// From the action.
-        operation: u64,
-        /// Its end.
-        result: Result<TableReply, PlatformError>,
-    },
-    /// The process stops: give the lease back and take no other.
-    Release,
-}
-
-/// What a lease wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum LeaseAction {
-    /// Make a call and report its end.
-    Table {
-        /// Number of the call within this lease.
-        operation: u64,
-        /// The call.
-        request: TableRequest,
-    },
-    /// The lease is held from now on, under a new fencing number.
-    Acquired(HeldLease),
-    /// The lease is no longer held: another entry took it, or it was given back.
-    Lost,
-}
+pub use event::HeldLease;
+pub use event::LeaseAction;
+pub use event::LeaseEvent;
 
 /// Call under way.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/entry/src/core/links.rs
+++ b/components/entry/src/core/links.rs
@@ -15,10 +15,11 @@
 
 use types::Incarnation;
 use types::TargetName;
-use wire::Liveness;
 use wire::ToAgent;
 use wire::liveness::Pulse;
 
+use crate::core::beat::Beat;
+
 /// Number of a connection; never used twice in one run of the entry.
 pub type LinkId = u64;
 
@@ -106,42 +107,6 @@
     Up { link: LinkId, beat: Beat },
 }
 
-/// Liveness of a connection in use.
-struct Beat {
-    liveness: Liveness,
-    heard: Instant,
-    is_watched: bool,
-}
-
-impl Beat {
-    fn new(now: Instant, times: &LinkTimes) -> Self {
-        Self {
-            liveness: Liveness::new(now, times.heartbeat_ms, times.silence_ms),
-            heard: now,
-            is_watched: false,
-        }
-    }
-
-    /// Counts silence from now on, unless it is counted already.
-    fn watch(&mut self, now: Instant, times: &LinkTimes) {
-        if !self.is_watched {
-            self.is_watched = true;
-            self.liveness = Liveness::new(now, times.heartbeat_ms, times.silence_ms);
-        }
-    }
-
-    fn tick(&mut self, now: Instant, times: &LinkTimes) -> Pulse {
-        if self.is_watched {
-            return self.liveness.tick(now);
-        }
-        if now.saturating_duration_since(self.heard) < times.idle_ms {
-            return Pulse::Fine;
-        }
-        self.watch(now, times);
-        Pulse::Ping
-    }
-}
-
 struct Link {
     address: SocketAddr,
     state: State,
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! no I/O, reads no clock, and takes all randomness from its seed, so that the daemon and
 //! randomised runs in virtual time drive the same code.
 
+mod beat;
 mod configuration;
 mod duties;
 pub mod event;
