--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -21,7 +21,10 @@
             poll_ms: settings.intervals.poll_ms,
             ..FollowerOptions::default()
         },
-        links: LinkTimes::default(),
+        links: LinkTimes {
+            idle_ms: settings.intervals.idle_ping_ms,
+            ..LinkTimes::default()
+        },
         share_targets: settings.share.targets,
         probe_ms: settings.intervals.probe_ms,
         hosts_poll_ms: settings.intervals.hosts_poll_ms,
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -128,6 +128,10 @@
         /// Between two probes of a target.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         probe_ms: Duration = Duration::from_millis(500),
+        /// Silence after which an idle connection to an agent is pinged. A silent one that was
+        /// not noticed costs the next request up to 2 s.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        idle_ping_ms: Duration = Duration::from_secs(5),
         /// Between two reads of the host list.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         hosts_poll_ms: Duration = Duration::from_secs(2),
@@ -286,6 +290,12 @@
                 "intervals.probe_ms",
                 "use 50 to 1000",
             ),
+            // Agents close a connection after 3 minutes of silence.
+            (
+                within(self.idle_ping_ms, 500, 60_000),
+                "intervals.idle_ping_ms",
+                "use 500 to 60000",
+            ),
             // A leaving host receives no new work after 5 s.
             (
                 within(self.hosts_poll_ms, 100, 4000),
