--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,7 +28,9 @@
 trap cleanup EXIT
 
 is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
-next=$((20000 + RANDOM % 20000))
+# Below the range from which the kernel takes ports for outgoing connections: such a port can be
+# in use without anybody listening.
+next=$((20000 + RANDOM % 12000))
 port() { # sets $free to an unused port
   until is_free "$next"; do next=$((next + 1)); done
   free=$next
