--- a/examples/chaos/callers.rs
+++ b/examples/chaos/callers.rs
@@ -29,11 +29,12 @@
 const MAX_PAUSE_MS: u64 = 60;
 
 /// What a caller was told about one send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Told {
     Answer,
     NotRun,
-    Unknown,
+    /// With the problem document.
+    Unknown(String),
     /// No answer or an incomplete one: the caller cannot know.
     Nothing,
     /// An answer that is not its own, or is not whole.
@@ -106,7 +107,8 @@
             / f64::from(u32::try_from(all).unwrap_or(u32::MAX))
     }
 
-    /// Examples of wrong answers.
+    /// Examples of violations: bodies that got a wrong answer, and problem documents that call
+    /// idempotent work unknown.
     pub fn details(&self) -> Vec<String> {
         self.details.borrow().clone()
     }
@@ -148,7 +150,7 @@
             };
             match told {
                 Told::Answer => return start.elapsed() < CALLER_TIMEOUT_MS,
-                Told::Unknown | Told::Wrong => return false,
+                Told::Unknown(_) | Told::Wrong => return false,
                 Told::NotRun | Told::Nothing => {}
             }
             let pause = random.random_range(10..300);
@@ -166,10 +168,15 @@
         let mut records = self.records.borrow_mut();
         let record = records.entry(body_digest(&request.body)).or_default();
         record.is_order = request.is_order;
-        match told {
+        match &told {
             Told::Answer => record.answers += 1,
             Told::NotRun => record.not_run += 1,
-            Told::Unknown => record.unknown += 1,
+            Told::Unknown(problem) => {
+                record.unknown += 1;
+                if !request.is_order {
+                    self.details.borrow_mut().push(problem.clone());
+                }
+            }
             Told::Nothing => record.nothing += 1,
             Told::Wrong => {
                 record.wrong += 1;
@@ -287,7 +294,7 @@
     let problem: Value = serde_json::from_slice(&response.body).unwrap_or_default();
     match problem["run"].as_str() {
         Some("not-run") => Told::NotRun,
-        Some("unknown") => Told::Unknown,
+        Some("unknown") => Told::Unknown(problem.to_string()),
         _ => Told::Nothing,
     }
 }
--- a/examples/chaos/verdict.rs
+++ b/examples/chaos/verdict.rs
@@ -36,7 +36,7 @@
     goodput_before: f64,
     goodput_after: f64,
     faults: BTreeMap<&'static str, u32>,
-    examples_of_wrong: Vec<String>,
+    examples_of_violations: Vec<String>,
 }
 
 impl Verdict {
@@ -96,7 +96,7 @@
         goodput_before,
         goodput_after,
         faults: faults.counts.clone(),
-        examples_of_wrong: load.details(),
+        examples_of_violations: load.details(),
     };
     let ran = runs(&engines, &plain);
     for (digest, record) in load.records.borrow().iter() {
