--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -1,8 +1,6 @@
 //! Start of the daemon from its settings.
 
-use std::io;
 use std::rc::Rc;
-use std::sync::Mutex;
 use std::time::Instant;
 
 use eyre::eyre;
@@ -16,17 +14,8 @@
 use platform::RetryOptions;
 use platform::SystemTimer;
 use settings::AgentSettings;
-use settings::Log;
-use settings::LogFormat;
-use settings::LogLevel;
-use slog::Drain;
-use slog::Level;
-use slog::LevelFilter;
-use slog::Logger;
 use slog::o;
 use types::SystemClock;
-use wire::Key;
-use wire::Keyring;
 
 use crate::daemon::Parts;
 use crate::daemon::serve;
@@ -40,8 +29,9 @@
 /// The port is taken, another run of the agent holds the target, or the target was withdrawn.
 pub fn run(settings: AgentSettings) -> eyre::Result<()> {
     let limits = limits(&settings);
-    let keys = keys(&settings).ok_or_else(|| eyre!("field `keys`: state at least one key"))?;
-    let logger = logger(settings.log).new(o!(
+    let keys = startup::keyring(&settings.keys)
+        .ok_or_else(|| eyre!("field `keys`: state at least one key"))?;
+    let logger = startup::logger(settings.log).new(o!(
         "target" => limits.target.clone(),
         "incarnation" => format!("{:016x}", limits.incarnation),
     ));
@@ -70,8 +60,7 @@
 }
 
 fn limits(settings: &AgentSettings) -> Limits {
-    // 0 stands for a released row.
-    let incarnation = rand::random::<u64>().max(1);
+    let incarnation = startup::incarnation();
     let target = &settings.target;
     let advertised = settings.advertise.unwrap_or(settings.listen);
     let concurrency = usize::try_from(settings.concurrency).unwrap_or(usize::MAX);
@@ -90,32 +79,3 @@
         ..Limits::new(target.name.clone(), incarnation, advertised)
     }
 }
-
-fn keys(settings: &AgentSettings) -> Option<Keyring> {
-    let keys = settings.keys.iter().map(|key| Key {
-        id: key.id,
-        secret: key.secret.0,
-    });
-    Keyring::new(keys.collect())
-}
-
-/// Writes to standard error on the calling thread.
-fn logger(log: Log) -> Logger {
-    let level = match log.level {
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-    };
-    match log.format {
-        LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(io::stderr())).fuse();
-            Logger::root(LevelFilter::new(drain, level).fuse(), o!())
-        }
-        LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            Logger::root(LevelFilter::new(drain, level).fuse(), o!())
-        }
-    }
-}
--- a/components/entry/src/daemon/log.rs
+++ b/components/entry/src/daemon/log.rs
@@ -1,47 +1,13 @@
-//! Log records on standard error.
-//!
-//! Records are written by the thread that makes them. A separate logging thread would not fit
-//! one loop on one thread, and records at the level `info` are rare.
+//! Log records of the core's notes.
 
-use std::io;
-use std::sync::Mutex;
-
-use settings::EntrySettings;
-use settings::LogFormat;
-use settings::LogLevel;
-use slog::Drain;
-use slog::Level;
 use slog::Logger;
 use slog::debug;
 use slog::error;
 use slog::info;
-use slog::o;
 use slog::warn;
 
 use crate::core::Note;
 
-/// Logger as the settings ask for it.
-pub fn logger(settings: &EntrySettings) -> Logger {
-    let level = match settings.log.level {
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-    };
-    let context = o!("entry" => settings.name.clone());
-    match settings.log.format {
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(io::stderr());
-            Logger::root(Mutex::new(drain).filter_level(level).ignore_res(), context)
-        }
-        LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
-            let drain = slog_term::FullFormat::new(decorator).build();
-            Logger::root(drain.filter_level(level).ignore_res(), context)
-        }
-    }
-}
-
 /// Writes one record.
 pub fn write(logger: &Logger, note: &Note) {
     let code = note.code();
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -135,12 +135,12 @@
         datagrams: Sender<(SocketAddr, Vec<u8>)>,
         rearm: Sender<()>,
     ) -> eyre::Result<Self> {
-        let logger = log::logger(&settings);
+        let logger = startup::logger(settings.log).new(slog::o!("entry" => settings.name.clone()));
         let meters = Meters::install().wrap_err("cannot install the metrics recorder")?;
         let clock: Rc<dyn Clock> = Rc::new(SystemClock);
         let now = clock.now();
-        let incarnation: Incarnation = rand::random();
-        let keys = options::keyring(&settings).ok_or_else(|| {
+        let incarnation = startup::incarnation();
+        let keys = startup::keyring(&settings.keys).ok_or_else(|| {
             eyre::eyre!("`keys` in the settings is empty; add one with 64 hex digits")
         })?;
         let context = GuardContext {
@@ -192,6 +192,7 @@
         self.core.borrow().incarnation()
     }
 
+    /// Keys for a new connection.
     pub(crate) fn keys(&self) -> Keyring {
         self.keys.borrow().clone()
     }
--- a/components/entry/src/daemon/signals.rs
+++ b/components/entry/src/daemon/signals.rs
@@ -15,7 +15,6 @@
 use crate::daemon::Daemon;
 use crate::daemon::listeners::Callers;
 use crate::daemon::listeners::Ports;
-use crate::options;
 
 /// Waits for SIGTERM or SIGINT.
 pub struct Stop {
@@ -70,7 +69,7 @@
         .settings()
         .reloaded(&new)
         .map_err(|fault| format!("{}: {}", fault.field, fault.fix))?;
-    let keys = options::keyring(&merged).ok_or("`keys` is empty")?;
+    let keys = startup::keyring(&merged.keys).ok_or("`keys` is empty")?;
     ports.callers.set_limits(&merged.limits);
     ports.operators.set_operators(&merged.operators);
     daemon.keys.replace(keys);
--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -2,8 +2,6 @@
 
 use control::FollowerOptions;
 use settings::EntrySettings;
-use wire::Key;
-use wire::Keyring;
 
 use crate::core::CoreOptions;
 use crate::core::links::LinkTimes;
@@ -38,13 +36,3 @@
             .collect(),
     }
 }
-
-/// Keys for frames and datagrams; `None` without any.
-#[must_use]
-pub fn keyring(settings: &EntrySettings) -> Option<Keyring> {
-    let key = |key: &settings::KeySettings| Key {
-        id: key.id,
-        secret: key.secret.0,
-    };
-    Keyring::new(settings.keys.iter().map(key).collect())
-}
