--- a/components/entry/src/core/journal.rs
+++ b/components/entry/src/core/journal.rs
@@ -1,6 +1,7 @@
 //! Latest requests that have ended, for `explain`.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 use request::Summary;
 use types::RequestId;
@@ -11,12 +12,12 @@
 /// Ring of ended requests.
 #[derive(Debug, Default)]
 pub struct Journal {
-    entries: VecDeque<(RequestId, Summary)>,
+    entries: VecDeque<(RequestId, Rc<Summary>)>,
 }
 
 impl Journal {
     /// Adds a request and forgets the oldest one beyond the limit.
-    pub fn push(&mut self, request: RequestId, summary: Summary) {
+    pub fn push(&mut self, request: RequestId, summary: Rc<Summary>) {
         if self.entries.len() == JOURNAL_REQUESTS {
             self.entries.pop_front();
         }
@@ -30,6 +31,6 @@
             .iter()
             .rev()
             .find(|(id, _)| *id == request)
-            .map(|(_, summary)| summary)
+            .map(|(_, summary)| summary.as_ref())
     }
 }
--- a/components/entry/src/core/links.rs
+++ b/components/entry/src/core/links.rs
@@ -114,6 +114,17 @@
     incarnation: Option<Incarnation>,
 }
 
+impl Link {
+    /// Takes note of the run of the agent; tells if it takes the place of another one.
+    fn take_run(&mut self, target: &TargetName, incarnation: Incarnation) -> Option<LinkAction> {
+        let old = self.incarnation.replace(incarnation)?;
+        (old != incarnation).then(|| LinkAction::IncarnationGone {
+            target: target.clone(),
+            incarnation: old,
+        })
+    }
+}
+
 /// Connections to all targets of this entry.
 pub struct Links {
     times: LinkTimes,
@@ -144,7 +155,6 @@
         address: SocketAddr,
         incarnation: Incarnation,
     ) -> Vec<LinkAction> {
-        let mut actions = Vec::new();
         let link = self
             .by_target
             .entry(target.clone())
@@ -154,19 +164,9 @@
                 failures: 0,
                 incarnation: None,
             });
-        if let Some(old) = link.incarnation
-            && old != incarnation
-        {
-            actions.push(LinkAction::IncarnationGone {
-                target: target.clone(),
-                incarnation: old,
-            });
-        }
-        let moved = link.address != address;
-        let replaced = link.incarnation.is_some_and(|old| old != incarnation);
-        link.incarnation = Some(incarnation);
-        link.address = address;
-        if moved || replaced {
+        let mut actions = Vec::from_iter(link.take_run(target, incarnation));
+        let moved = std::mem::replace(&mut link.address, address) != address;
+        if moved || !actions.is_empty() {
             link.failures = 0;
             actions.extend(disconnect(&mut self.target_of, target, link, now));
         }
@@ -210,16 +210,7 @@
         if name != *target {
             return self.closed(now, link);
         }
-        let mut actions = Vec::new();
-        if let Some(old) = entry.incarnation
-            && old != incarnation
-        {
-            actions.push(LinkAction::IncarnationGone {
-                target: name.clone(),
-                incarnation: old,
-            });
-        }
-        entry.incarnation = Some(incarnation);
+        let mut actions = Vec::from_iter(entry.take_run(&name, incarnation));
         entry.failures = 0;
         entry.state = State::Up {
             link,
@@ -235,13 +226,14 @@
     /// A message arrived. Returns the target and the run of its agent, or `None` if the
     /// connection is not in use any more.
     pub fn heard(&mut self, now: Instant, link: LinkId) -> Option<(TargetName, Incarnation)> {
-        let (name, entry) = self.find(link)?;
+        let name = self.target_of.get(&link)?;
+        let entry = self.by_target.get_mut(name)?;
         let State::Up { beat, .. } = &mut entry.state else {
             return None;
         };
         beat.heard = now;
         beat.liveness.heard(now);
-        Some((name, entry.incarnation?))
+        Some((name.clone(), entry.incarnation?))
     }
 
     /// A connection ended or could not be opened.
@@ -264,11 +256,11 @@
 
     /// A message that has to be answered goes out on a connection.
     pub fn sent(&mut self, now: Instant, link: LinkId) {
-        let times = self.times;
-        if let Some((_, entry)) = self.find(link)
+        let name = self.target_of.get(&link);
+        if let Some(entry) = name.and_then(|name| self.by_target.get_mut(name))
             && let State::Up { beat, .. } = &mut entry.state
         {
-            beat.watch(now, &times);
+            beat.watch(now, &self.times);
         }
     }
 
--- a/components/entry/src/core/note.rs
+++ b/components/entry/src/core/note.rs
@@ -1,5 +1,7 @@
 //! Log events of an entry. `docs/log-events.md` is their catalogue.
 
+use std::rc::Rc;
+
 use request::Summary;
 use types::Incarnation;
 use types::RequestId;
@@ -57,7 +59,7 @@
         /// Request concerned.
         request: RequestId,
         /// Its figures.
-        summary: Box<Summary>,
+        summary: Rc<Summary>,
     },
     /// A lease was taken.
     LeaseAcquired {
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -1,5 +1,6 @@
 //! Requests, connections and datagrams: passes events between the state machines.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use control::FollowerEvent;
@@ -94,11 +95,11 @@
     }
 
     fn settled(&mut self, request: RequestId, summary: Summary, actions: &mut Vec<Action>) {
-        let note = Note::RequestSettled {
+        let summary = Rc::new(summary);
+        actions.push(Action::Note(Note::RequestSettled {
             request,
-            summary: Box::new(summary.clone()),
-        };
-        actions.push(Action::Note(note));
+            summary: Rc::clone(&summary),
+        }));
         self.journal.push(request, summary);
     }
 
--- a/components/entry/src/daemon/listeners.rs
+++ b/components/entry/src/daemon/listeners.rs
@@ -147,7 +147,8 @@
             smol::Timer::after(RECEIVE_PAUSE_MS).await;
             continue;
         };
-        match Datagram::decode(&buffer[..bytes], &daemon.keys()) {
+        let decoded = Datagram::decode(&buffer[..bytes], &daemon.keys.borrow());
+        match decoded {
             Ok(datagram) => {
                 if let Datagram::Head { head, .. } = datagram {
                     let now = daemon.clock.now();
