--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,7 @@
 bin=${CHERVILSPOOL_BIN:-target/release/chervilspool}
 standin=${STANDIN_BIN:-target/release/standin}
 for tool in curl "$bin" "$standin"; do
-  command -v "$tool" >/dev/null || { echo "demo: $tool is missing; run cargo build --release --workspace --locked" >&2; exit 2; }
+  command -v "$tool" >/dev/null || { echo "demo: $tool is missing; run cargo build --release --locked" >&2; exit 2; }
 done
 
 work=$(mktemp -d)
