--- a/benches/path/main.rs
+++ b/benches/path/main.rs
@@ -90,6 +90,7 @@
         instant,
         forwarder: false,
         plain_delay_ms: 0,
+        log_requests: false,
     }
 }
 
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -53,12 +53,15 @@
 use crate::core::probes::Probes;
 use crate::core::router::PlanningRouter;
 use crate::core::share::Shares;
+use crate::core::traffic::note_down;
 
 /// Longest time between two ticks; bounds how late silence and probes are noticed.
 const TICK_MS: Duration = Duration::from_millis(50);
 
 /// Between two looks at which connections are in use; each one goes over all requests.
 const WATCH_MS: Duration = Duration::from_millis(250);
+/// Logged for a connection that is replaced without having been closed.
+const SILENT: &str = "silent for too long";
 
 /// State of an entry.
 pub struct EntryCore {
@@ -238,6 +241,7 @@
         }
         self.watch_links(now);
         let links = self.links.tick(now);
+        note_down(&links, SILENT, actions);
         self.carry_out_links(now, links, actions);
         let head = self.follower.applied();
         let outgoing = self.probes.tick(now, head, self.links.targets());
--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use request::AttemptSummary;
 use request::Need;
 use routing::TargetView;
 use serde_json::Value;
@@ -85,7 +86,7 @@
                 "request": subject,
                 "service": summary.service,
                 "outcome": format!("{:?}", summary.outcome),
-                "targets": summary.targets,
+                "attempts": summary.attempts.iter().map(attempt).collect::<Vec<Value>>(),
                 "first_byte_ms": summary.first_byte_ms.map(millis),
                 "total_ms": millis(summary.total_ms),
                 "prompt_tokens": summary.usage.prompt_tokens,
@@ -159,3 +160,16 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+fn attempt(attempt: &AttemptSummary) -> Value {
+    let (end_ms, end) = match attempt.end {
+        Some((end_ms, end)) => (Some(millis(end_ms)), format!("{end:?}")),
+        None => (None, "Running".to_owned()),
+    };
+    json!({
+        "target": attempt.target,
+        "start_ms": millis(attempt.start_ms),
+        "end_ms": end_ms,
+        "end": end,
+    })
+}
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -153,14 +153,8 @@
         actions: &mut Vec<Action>,
     ) {
         let links = self.links.closed(now, link);
-        let is_down = |action: &LinkAction| matches!(action, LinkAction::Down { .. });
-        if let (Some(LinkAction::Down { target }), Some(detail)) =
-            (links.iter().find(|action| is_down(action)), detail)
-        {
-            actions.push(Action::Note(Note::TargetDown {
-                target: target.clone(),
-                detail,
-            }));
+        if let Some(detail) = detail {
+            note_down(&links, &detail, actions);
         }
         self.carry_out_links(now, links, actions);
     }
@@ -255,3 +249,15 @@
 fn is_about_claim(message: &ToAgent) -> bool {
     matches!(message, ToAgent::Forbid { .. } | ToAgent::Resume { .. })
 }
+
+/// Notes which connections in use were lost.
+pub(super) fn note_down(links: &[LinkAction], detail: &str, actions: &mut Vec<Action>) {
+    let lost = links.iter().filter_map(|action| match action {
+        LinkAction::Down { target } => Some(target.clone()),
+        _ => None,
+    });
+    actions.extend(lost.map(|target| {
+        let detail = detail.to_owned();
+        Action::Note(Note::TargetDown { target, detail })
+    }));
+}
--- a/components/entry/src/daemon/log.rs
+++ b/components/entry/src/daemon/log.rs
@@ -42,7 +42,8 @@
         Note::RequestSettled { request, summary } => debug!(logger, "request settled";
             "code" => code, "request" => format!("{request:032x}"),
             "service" => &summary.service, "outcome" => format!("{:?}", summary.outcome),
-            "targets" => summary.targets.join(" ")),
+            "total_ms" => summary.total_ms.as_millis(),
+            "attempts" => format!("{:?}", summary.attempts)),
         Note::LeaseAcquired { scope, fencing } => {
             info!(logger, "lease acquired";
                 "code" => code, "scope" => scope, "fencing" => fencing);
--- a/components/entry/src/daemon/meters.rs
+++ b/components/entry/src/daemon/meters.rs
@@ -71,7 +71,7 @@
     counter!("chervilspool_requests_total", "service" => service.clone(), "outcome" => outcome)
         .increment(1);
     counter!("chervilspool_attempts_total", "service" => service.clone())
-        .increment(summary.targets.len() as u64);
+        .increment(summary.attempts.len() as u64);
     if summary.outcome != Outcome::Answered {
         return;
     }
--- a/components/entry/tests/core.rs
+++ b/components/entry/tests/core.rs
@@ -18,6 +18,7 @@
 use entry::core::CoreOptions;
 use entry::core::EntryCore;
 use entry::core::Event;
+use entry::core::Note;
 use entry::core::links::LinkTimes;
 use platform::HostEntry;
 use platform::HostState;
@@ -48,6 +49,7 @@
     link: Option<u64>,
     replies: Vec<Reply>,
     sent: Vec<ToAgent>,
+    lost: Vec<String>,
 }
 
 impl Bench {
@@ -73,6 +75,7 @@
             link: None,
             replies: Vec::new(),
             sent: Vec::new(),
+            lost: Vec::new(),
         }
     }
 
@@ -113,6 +116,10 @@
                 self.sent.push(message);
                 None
             }
+            Action::Note(Note::TargetDown { detail, .. }) => {
+                self.lost.push(detail);
+                None
+            }
             _ => None,
         }
     }
@@ -193,6 +200,18 @@
     }
 }
 
+/// Guards against connections that are replaced without a record in the log.
+#[test]
+fn notes_a_connection_that_went_silent() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(1));
+    bench.submit();
+    bench.link = None;
+    bench.wait(Duration::from_secs(3));
+    assert_eq!(bench.lost, vec!["silent for too long"]);
+}
+
 /// Guards against a fresh entry that claims to know that a service does not exist.
 #[test]
 fn refuses_as_not_ready_until_it_has_a_configuration() {
--- a/components/request/src/action.rs
+++ b/components/request/src/action.rs
@@ -9,6 +9,7 @@
 use types::ServiceName;
 use types::TargetName;
 use types::Usage;
+use wire::Rejection;
 use wire::ToAgent;
 
 /// How a request ended.
@@ -22,6 +23,30 @@
     Abandoned,
 }
 
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Whole answer received.
+    Answered,
+    /// Not run; with the agent's reason, if it gave one.
+    Rejected(Option<Rejection>),
+    /// Failed at the target, or the target was lost.
+    Failed,
+    /// Cancelled because nobody waits for it any more.
+    Cancelled,
+}
+
+/// One attempt of a request that has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptSummary {
+    /// Target that it was sent to.
+    pub target: TargetName,
+    /// Time from acceptance of the request to the dispatch.
+    pub start_ms: Duration,
+    /// Time from acceptance to the end, and how it ended; `None` while it runs.
+    pub end: Option<(Duration, AttemptEnd)>,
+}
+
 /// Figures of a request that has ended.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -29,8 +54,8 @@
     pub service: ServiceName,
     /// How it ended.
     pub outcome: Outcome,
-    /// Targets tried, in order.
-    pub targets: Vec<TargetName>,
+    /// Attempts that were sent, in order.
+    pub attempts: Vec<AttemptSummary>,
     /// Time from acceptance to the first byte.
     pub first_byte_ms: Option<Duration>,
     /// Time from acceptance to the end.
--- a/components/request/src/budget.rs
+++ b/components/request/src/budget.rs
@@ -9,8 +9,10 @@
 
 /// Retries are a tenth of the requests at most.
 const REQUESTS_PER_RETRY: u64 = 10;
-/// Retries allowed however few requests there are.
-const MIN_RETRIES: u64 = 3;
+/// Retries allowed however few requests there are. Callers that wait for an answer send nothing
+/// new, so a fault that stops all targets lowers the number of requests just when each of them
+/// needs a retry: with 3, `chaos --seed 104` kept up to 8 requests waiting until their deadline.
+const MIN_RETRIES: u64 = 20;
 /// Time over which requests and retries are counted.
 const WINDOW_MS: Duration = Duration::from_secs(10);
 /// Width of one counter; the window moves in steps of this.
--- a/components/request/src/connections.rs
+++ b/components/request/src/connections.rs
@@ -7,10 +7,10 @@
 use types::RequestId;
 use types::TargetName;
 
+use crate::action::AttemptEnd;
 use crate::requests::Context;
 use crate::requests::Requests;
 use crate::requests::Timer;
-use crate::router::Settlement;
 
 /// Time for a lost connection to come back before an idempotent attempt is moved. A connection
 /// is already lost only after 2 s of silence, so little more is spent on the same target.
@@ -88,7 +88,7 @@
     }
 
     fn attempt_lost(&mut self, cx: &mut Context, id: RequestId) {
-        self.cancel_attempt(cx, id, Settlement::Failed);
+        self.cancel_attempt(cx, id, AttemptEnd::Failed);
         self.after_failure(cx, id, "the target was lost");
     }
 
--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -9,10 +9,12 @@
 use types::RefusalReason;
 use types::RequestId;
 use types::TargetName;
+use types::Usage;
 use wire::Dispatch;
 use wire::ToAgent;
 
 use crate::action::Action;
+use crate::action::AttemptEnd;
 use crate::finish::not_taken;
 use crate::queue::Overdue;
 use crate::refusal::Ending;
@@ -184,7 +186,7 @@
         run.phase = Phase::Running;
         run.dispatches += 1;
         run.answer.restart();
-        run.tried.push(target.clone());
+        run.attempt_started(cx.now, target.clone());
         // A later attempt sends the answer from its start, to the offset that callers allow.
         let granted = run.consumed() + WINDOW_BYTES;
         for message in messages(cx, run, attempt, incarnation, granted) {
@@ -205,23 +207,42 @@
     }
 
     /// Ends the attempt in progress and forgets it; its late messages are dropped from now on.
-    pub(crate) fn end_attempt(&mut self, cx: &mut Context, id: RequestId, end: Settlement) {
+    pub(crate) fn end_attempt(&mut self, cx: &mut Context, id: RequestId, end: AttemptEnd) {
+        self.settle_attempt(cx, id, end, Usage::default());
+    }
+
+    /// As `end_attempt`, with the tokens that the attempt used.
+    pub(crate) fn settle_attempt(
+        &mut self,
+        cx: &mut Context,
+        id: RequestId,
+        end: AttemptEnd,
+        usage: Usage,
+    ) {
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
         let Some(attempt) = run.attempt.take() else {
             return;
         };
-        run.touched |= end != Settlement::Rejected;
+        run.touched |= !matches!(end, AttemptEnd::Rejected(_));
+        run.attempt_ended(cx.now, end);
         self.attempts.remove(&attempt.id);
         if attempt.own {
-            cx.router.settled(cx.now, &attempt.target, attempt.id, end);
+            let settlement = match end {
+                AttemptEnd::Answered => Settlement::Answered(usage),
+                AttemptEnd::Rejected(_) => Settlement::Rejected,
+                AttemptEnd::Failed => Settlement::Failed,
+                AttemptEnd::Cancelled => Settlement::Cancelled,
+            };
+            let target = &attempt.target;
+            cx.router.settled(cx.now, target, attempt.id, settlement);
         }
         self.pump_due = true;
     }
 
     /// Ends the attempt in progress and tells the agent that its answer is not wanted.
-    pub(crate) fn cancel_attempt(&mut self, cx: &mut Context, id: RequestId, end: Settlement) {
+    pub(crate) fn cancel_attempt(&mut self, cx: &mut Context, id: RequestId, end: AttemptEnd) {
         // Work that must not be repeated is never cancelled: its answer is kept for resends.
         if let Some(run) = self.runs.get(&id).filter(|run| run.idempotent)
             && let Some(attempt) = &run.attempt
@@ -236,16 +257,22 @@
         self.end_attempt(cx, id, end);
     }
 
+    /// Sends a run again whose dispatch was lost. No target has done anything for it, so it does
+    /// not use the retry budget.
+    pub(crate) fn dispatch_again(&mut self, cx: &mut Context, id: RequestId) {
+        if !self.forget_unwanted(cx, id) {
+            self.enqueue(cx, id);
+        }
+    }
+
     /// Tries a run again that is proved not to have run, or may run twice.
     pub(crate) fn retry(&mut self, cx: &mut Context, id: RequestId) {
+        if self.forget_unwanted(cx, id) {
+            return;
+        }
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        if run.waiters.is_empty() {
-            let state = self.state_at_end(id);
-            self.forget(cx.now, id, state);
-            return;
-        }
         let budget = self.budgets.entry(run.need.service.clone()).or_default();
         if budget.take(cx.now) {
             self.enqueue(cx, id);
@@ -254,6 +281,16 @@
         run.phase = Phase::Delayed;
         self.set_timer(cx.now + BUDGET_POLL_MS, Timer::Budget);
     }
+
+    /// Forgets a run without callers; tells whether it did.
+    fn forget_unwanted(&mut self, cx: &Context, id: RequestId) -> bool {
+        let unwanted = self.runs.get(&id).is_some_and(|run| run.waiters.is_empty());
+        if unwanted {
+            let state = self.state_at_end(id);
+            self.forget(cx.now, id, state);
+        }
+        unwanted
+    }
 }
 
 fn messages(
--- a/components/request/src/finish.rs
+++ b/components/request/src/finish.rs
@@ -10,6 +10,7 @@
 use wire::Rejection;
 
 use crate::action::Action;
+use crate::action::AttemptEnd;
 use crate::action::Outcome;
 use crate::action::Summary;
 use crate::claim::ClaimState;
@@ -21,7 +22,6 @@
 use crate::requests::Context;
 use crate::requests::Requests;
 use crate::requests::Timer;
-use crate::router::Settlement;
 use crate::run::Phase;
 use crate::run::Waiter;
 
@@ -33,7 +33,7 @@
         id: RequestId,
         reason: Option<Rejection>,
     ) {
-        self.end_attempt(cx, id, Settlement::Rejected);
+        self.end_attempt(cx, id, AttemptEnd::Rejected(reason));
         let Some(run) = self.runs.get(&id) else {
             return;
         };
@@ -45,16 +45,31 @@
             self.read_claim(cx, id);
             return;
         }
-        if run.dispatches < run.terms.profile.attempt_limit {
+        if !counts_as_attempt(reason)
+            && let Some(run) = self.runs.get_mut(&id)
+        {
+            run.dispatches -= 1;
+        }
+        if reason == Some(Rejection::Forbidden) {
+            self.dispatch_again(cx, id);
+            return;
+        }
+        self.try_again_or(cx, id, &not_taken());
+    }
+
+    /// Tries a run again if it has an attempt left; else refuses it.
+    fn try_again_or(&mut self, cx: &mut Context, id: RequestId, refusal: &Ending) {
+        let run = self.runs.get(&id);
+        if run.is_some_and(|run| run.dispatches < run.terms.profile.attempt_limit) {
             self.retry(cx, id);
             return;
         }
-        self.refuse(cx, id, &not_taken());
+        self.refuse(cx, id, refusal);
     }
 
     /// The attempt failed and may have run.
     pub(crate) fn attempt_failed(&mut self, cx: &mut Context, id: RequestId, detail: &str) {
-        self.end_attempt(cx, id, Settlement::Failed);
+        self.end_attempt(cx, id, AttemptEnd::Failed);
         self.after_failure(cx, id, detail);
     }
 
@@ -66,17 +81,13 @@
             self.lose_outcome(cx, id, &outcome_unknown());
             return;
         }
-        if run.dispatches < run.terms.profile.attempt_limit {
-            self.retry(cx, id);
-            return;
-        }
         let refusal = Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail);
-        self.refuse(cx, id, &refusal);
+        self.try_again_or(cx, id, &refusal);
     }
 
     /// The attempt's answer is not the one that callers already have a part of.
     pub(crate) fn answer_contradicted(&mut self, cx: &mut Context, id: RequestId) {
-        self.cancel_attempt(cx, id, Settlement::Failed);
+        self.cancel_attempt(cx, id, AttemptEnd::Failed);
         if self.runs.get(&id).is_some_and(|run| !run.idempotent) {
             self.lose_outcome(cx, id, &outcome_unknown());
             return;
@@ -133,7 +144,7 @@
             self.grant(cx, id);
             return;
         }
-        self.cancel_attempt(cx, id, Settlement::Cancelled);
+        self.cancel_attempt(cx, id, AttemptEnd::Cancelled);
         let state = self.state_at_end(id);
         self.forget(cx.now, id, state);
     }
@@ -141,7 +152,7 @@
     /// Gives up a run that nobody has waited for since its deadline.
     pub(crate) fn linger_over(&mut self, cx: &mut Context, id: RequestId) {
         if self.runs.get(&id).is_some_and(|run| run.waiters.is_empty()) {
-            self.end_attempt(cx, id, Settlement::Failed);
+            self.end_attempt(cx, id, AttemptEnd::Failed);
             self.forget(cx.now, id, ClaimState::Unknown);
         }
     }
@@ -245,7 +256,7 @@
         let summary = Summary {
             service: run.need.service.clone(),
             outcome,
-            targets: run.tried.to_vec(),
+            attempts: run.history.to_vec(),
             first_byte_ms: waiter.first_byte_ms,
             total_ms: cx.now.saturating_duration_since(waiter.accepted),
             usage,
@@ -283,3 +294,22 @@
     let detail = "no target took the request";
     Ending::new(RefusalReason::TargetFailed, Some(RETRY_MS), detail)
 }
+
+/// Whether a rejected attempt uses up one of the attempts of its request.
+///
+/// A target that is leaving, away or full says so in the load report that comes with the
+/// rejection, so the router does not choose it again and the request can wait for another one.
+/// After `Forbidden` the dispatch was lost with its connection. The other reasons tell the router
+/// nothing, and without a limit the same target would be tried until the deadline.
+fn counts_as_attempt(reason: Option<Rejection>) -> bool {
+    !matches!(
+        reason,
+        Some(
+            Rejection::Leaving
+                | Rejection::Away
+                | Rejection::Overloaded
+                | Rejection::WrongModel
+                | Rejection::Forbidden
+        )
+    )
+}
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -27,6 +27,8 @@
 mod tokens;
 
 pub use action::Action;
+pub use action::AttemptEnd;
+pub use action::AttemptSummary;
 pub use action::Outcome;
 pub use action::Summary;
 pub use event::Event;
--- a/components/request/src/relay.rs
+++ b/components/request/src/relay.rs
@@ -11,13 +11,13 @@
 use wire::ToEntry;
 
 use crate::action::Action;
+use crate::action::AttemptEnd;
 use crate::answer::Answer;
 use crate::answer::AnswerHead;
 use crate::answer::Progress;
 use crate::dispatch::WINDOW_BYTES;
 use crate::requests::Context;
 use crate::requests::Requests;
-use crate::router::Settlement;
 use crate::run::Waiter;
 
 /// Credit is granted in steps of at least this, so that it costs few frames.
@@ -114,7 +114,7 @@
     fn ended(&mut self, cx: &mut Context, id: RequestId, progress: Option<Progress>, usage: Usage) {
         match progress {
             Some(Progress::Nothing) => {
-                self.end_attempt(cx, id, Settlement::Answered(usage));
+                self.settle_attempt(cx, id, AttemptEnd::Answered, usage);
                 self.answered(cx, id, usage);
             }
             other => self.progressed(cx, id, other),
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -236,13 +236,14 @@
     }
 
     fn release_delayed(&mut self, cx: &mut Context) {
-        let delayed: Vec<RequestId> = self
+        let mut delayed: Vec<(Instant, RequestId)> = self
             .runs
             .values()
             .filter(|run| run.phase == Phase::Delayed)
-            .map(|run| run.id)
+            .map(|run| (run.deadline(), run.id))
             .collect();
-        for id in delayed {
+        delayed.sort_unstable();
+        for (_, id) in delayed {
             self.retry(cx, id);
         }
     }
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -14,6 +14,8 @@
 use types::Submission;
 use types::TargetName;
 
+use crate::action::AttemptEnd;
+use crate::action::AttemptSummary;
 use crate::answer::Answer;
 use crate::claim::ClaimRow;
 use crate::event::Terms;
@@ -91,6 +93,8 @@
     /// Attempts that were sent.
     pub dispatches: u32,
     pub tried: SmallVec<[TargetName; 2]>,
+    /// What is told of the attempts when the run ends.
+    pub history: SmallVec<[AttemptSummary; 1]>,
     pub attempt: Option<Attempt>,
     pub answer: Answer,
     /// Only for non-idempotent work.
@@ -108,6 +112,24 @@
         self.need.deadline
     }
 
+    /// Notes that an attempt was sent.
+    pub fn attempt_started(&mut self, now: Instant, target: TargetName) {
+        self.tried.push(target.clone());
+        self.history.push(AttemptSummary {
+            target,
+            start_ms: now.saturating_duration_since(self.accepted),
+            end: None,
+        });
+    }
+
+    /// Notes how the last attempt ended.
+    pub fn attempt_ended(&mut self, now: Instant, end: AttemptEnd) {
+        let since = now.saturating_duration_since(self.accepted);
+        if let Some(last) = self.history.last_mut() {
+            last.end = Some((since, end));
+        }
+    }
+
     /// What may be said of the run if it ended now.
     pub fn state(&self) -> RunState {
         let elsewhere = matches!(self.phase, Phase::Enquiring(_));
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -204,6 +204,7 @@
         attempts: 0,
         dispatches: 0,
         tried: smallvec![],
+        history: smallvec![],
         attempt: None,
         answer: Answer::default(),
         claim: None,
@@ -260,7 +261,7 @@
     let summary = Summary {
         service: submission.work.service.clone(),
         outcome,
-        targets: Vec::new(),
+        attempts: Vec::new(),
         first_byte_ms: None,
         total_ms: Duration::ZERO,
         usage: Usage::default(),
--- a/components/request/src/takeover.rs
+++ b/components/request/src/takeover.rs
@@ -115,7 +115,7 @@
         let attempt = row.attempt_id();
         run.phase = Phase::Running;
         run.answer = Answer::keeping(STORED_ANSWER_LIMIT_BYTES);
-        run.tried.push(row.target.clone());
+        run.attempt_started(cx.now, row.target.clone());
         run.attempt = Some(Attempt {
             id: attempt,
             target: row.target.clone(),
--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -55,6 +55,8 @@
     pub forwarder: bool,
     /// Times of the plain service.
     pub plain_delay_ms: u64,
+    /// Entries log every request.
+    pub log_requests: bool,
 }
 
 /// Addresses of one entry.
@@ -271,6 +273,7 @@
                 "operators": [{"name": "testbed", "token": TOKEN}],
                 "caller_identity": {"header": "X-Caller"},
                 "intervals": {"balancer_notice_ms": 200, "lease_ms": 2000},
+                "log": {"level": if self.plan.log_requests { "debug" } else { "info" }},
             });
             let process = self.start_daemon("entry", &name, &settings)?;
             self.entries.borrow_mut().push(process);
--- a/examples/chaos/main.rs
+++ b/examples/chaos/main.rs
@@ -33,6 +33,7 @@
     instant: false,
     forwarder: true,
     plain_delay_ms: 30,
+    log_requests: true,
 };
 
 /// Faults on real processes
