--- a/components/entry/src/daemon/meters.rs
+++ b/components/entry/src/daemon/meters.rs
@@ -13,6 +13,10 @@
 use crate::core::EntryCore;
 use crate::core::Note;
 
+/// Time between two runs of `Meters::sort_samples`. The recorder keeps each sample of a
+/// histogram until then, 16 bytes a request, however long nobody reads the metrics.
+pub const SORT_MS: Duration = Duration::from_secs(1);
+
 /// Recorder of this process.
 pub struct Meters {
     handle: PrometheusHandle,
@@ -32,6 +36,11 @@
         Ok(Self { handle })
     }
 
+    /// Puts samples of histograms into their buckets.
+    pub fn sort_samples(&self) {
+        self.handle.run_upkeep();
+    }
+
     /// Records what a log event tells.
     pub fn note(note: &Note) {
         match note {
@@ -56,7 +65,7 @@
         let revision = core.snapshot().map_or(0, |snapshot| snapshot.revision());
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53 changes
         gauge!("chervilspool_revision").set(revision as f64);
-        self.handle.run_upkeep();
+        self.sort_samples();
         self.handle.render()
     }
 }
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -114,6 +114,7 @@
     let incarnation = daemon.incarnation();
     daemon.note(&Note::Started { incarnation });
     daemon.spawn(timer::run(daemon.clone(), rearmed));
+    daemon.spawn(sort_samples(daemon.clone()));
     let callers = listeners::start(&daemon, listeners, outgoing);
     signals::spawn_reload(&daemon, &callers).wrap_err("cannot listen for signals")?;
     let notice_ms = daemon.settings().intervals.balancer_notice_ms;
@@ -127,6 +128,13 @@
     Ok(())
 }
 
+async fn sort_samples(daemon: Rc<Daemon>) {
+    loop {
+        smol::Timer::after(meters::SORT_MS).await;
+        daemon.meters.sort_samples();
+    }
+}
+
 impl Daemon {
     fn new(
         settings: EntrySettings,
