--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -123,6 +123,19 @@
         self.receiving + self.queue.len() >= self.limits.queue + free
     }
 
+    /// Changes how many runs are at the target at once. What runs or waits already is kept.
+    pub(crate) fn set_concurrency(
+        &mut self,
+        now: Instant,
+        concurrency: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let limits = Rc::make_mut(&mut self.limits);
+        limits.concurrency = concurrency;
+        limits.queue = concurrency;
+        self.start_next(now, out);
+    }
+
     /// Hands queued attempts to the target while it has places.
     pub(crate) fn start_next(&mut self, now: Instant, out: &mut Vec<Action>) {
         while self.runs.len() < self.limits.concurrency {
--- a/components/agent/src/daemon/connections.rs
+++ b/components/agent/src/daemon/connections.rs
@@ -72,7 +72,8 @@
     daemon.spawn(async move {
         let _ = stream.set_nodelay(true);
         let random = rand::random();
-        let opening = session::establish(stream, session::End::Acceptor, &serving.keys, random);
+        let keys = serving.keys();
+        let opening = session::establish(stream, session::End::Acceptor, &keys, random);
         let Some(Ok((reader, writer))) = within(HANDSHAKE_LIMIT_MS, opening).await else {
             return;
         };
@@ -111,7 +112,7 @@
         }
     };
     if let Some(error) = receive.or(send).or(end).await {
-        debug!(daemon.logger, "connection ended";
+        debug!(daemon.logger(), "connection ended";
             "code" => "CS2304", "detail" => error.to_string());
     }
     daemon.connections.close(connection);
--- a/components/agent/src/daemon/mod.rs
+++ b/components/agent/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -22,6 +23,7 @@
 use http::Client;
 use platform::Table;
 use platform::WeightStore;
+use settings::AgentSettings;
 use slog::Logger;
 use smol::LocalExecutor;
 use smol::net::UdpSocket;
@@ -55,6 +57,16 @@
     pub weights: Rc<dyn WeightStore>,
     /// Destination of log events.
     pub logger: Logger,
+    /// What SIGHUP reads again; without it the signal is not handled.
+    pub reload: Option<Reload>,
+}
+
+/// Settings in force and the file that they came from.
+pub struct Reload {
+    /// In force.
+    pub settings: AgentSettings,
+    /// Read again on SIGHUP.
+    pub file: PathBuf,
 }
 
 /// Everything that the tasks of a daemon share.
@@ -64,13 +76,13 @@
     pub(crate) connections: Connections,
     pub(crate) runs: Runs,
     pub(crate) client: Client,
-    pub(crate) keys: Keyring,
+    keys: RefCell<Keyring>,
     pub(crate) is_model: bool,
     engine: EngineClient,
     table: Rc<dyn Table>,
     weights: Rc<dyn WeightStore>,
     udp: UdpSocket,
-    pub(crate) logger: Logger,
+    logger: RefCell<Logger>,
     exit: Sender<ExitReason>,
 }
 
@@ -93,12 +105,16 @@
     smol::block_on(executor.run(run))
 }
 
-async fn serve_on(parts: Parts, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
+async fn serve_on(mut parts: Parts, executor: Rc<LocalExecutor<'static>>) -> eyre::Result<()> {
     let address = parts.listen;
     let (listener, udp) = server::bind(address)?;
     let (exit, exited) = async_channel::bounded(1);
+    let reload = parts.reload.take();
     let daemon = Rc::new(Daemon::new(parts, executor, udp, exit));
     signals::spawn(&daemon).wrap_err("cannot listen for signals")?;
+    if let Some(reload) = reload {
+        signals::spawn_reload(&daemon, reload).wrap_err("cannot listen for signals")?;
+    }
     server::spawn(&daemon, listener);
     spawn_ticks(&daemon);
     let reason = wait(exited).await;
@@ -143,12 +159,12 @@
             connections: Connections::default(),
             runs: Runs::default(),
             client: Client::new(parts.target, runs::client_limits()),
-            keys: parts.keys,
+            keys: RefCell::new(parts.keys),
             engine: EngineClient::new(parts.target),
             table: parts.table,
             weights: parts.weights,
             udp,
-            logger: parts.logger,
+            logger: RefCell::new(parts.logger),
             exit,
         }
     }
@@ -209,7 +225,7 @@
                 let result = daemon.table.call(request).await;
                 Some(Event::TableDone { operation, result })
             }),
-            Action::Log(note) => log::write(&self.logger, &note),
+            Action::Log(note) => log::write(&self.logger.borrow(), &note),
             Action::Exit(reason) => {
                 let _ = self.exit.try_send(reason);
             }
@@ -231,7 +247,7 @@
     }
 
     fn send_datagram(self: &Rc<Self>, to: SocketAddr, datagram: &Datagram) {
-        let Ok(bytes) = datagram.encode(&self.keys) else {
+        let Ok(bytes) = datagram.encode(&self.keys.borrow()) else {
             return;
         };
         let daemon = self.clone();
@@ -241,6 +257,15 @@
         });
     }
 
+    /// Keys for a new connection.
+    pub(crate) fn keys(&self) -> Keyring {
+        self.keys.borrow().clone()
+    }
+
+    pub(crate) fn logger(&self) -> Logger {
+        self.logger.borrow().clone()
+    }
+
     pub(crate) fn udp(&self) -> &UdpSocket {
         &self.udp
     }
--- a/components/agent/src/daemon/server.rs
+++ b/components/agent/src/daemon/server.rs
@@ -56,7 +56,8 @@
                 smol::Timer::after(ACCEPT_PAUSE_MS).await;
                 continue;
             };
-            match Datagram::decode(&buffer[..count], &receiving.keys) {
+            let decoded = Datagram::decode(&buffer[..count], &receiving.keys.borrow());
+            match decoded {
                 Ok(Datagram::Probe { sequence, .. }) => {
                     receiving.tell(Event::Probe { from, sequence });
                 }
--- a/components/agent/src/daemon/signals.rs
+++ b/components/agent/src/daemon/signals.rs
@@ -1,4 +1,4 @@
-//! Signals that ask the process to stop.
+//! Signals that ask the process to stop or to read its settings again.
 
 use std::io;
 use std::rc::Rc;
@@ -6,9 +6,13 @@
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::StreamExt;
+use settings::AgentSettings;
+use slog::error;
 use slog::info;
 
 use crate::daemon::Daemon;
+use crate::daemon::Reload;
+use crate::daemon::start;
 use crate::event::Event;
 
 /// Turns SIGTERM and SIGINT into `Leaving`. Further signals cut nothing off.
@@ -17,10 +21,46 @@
     let stopping = daemon.clone();
     daemon.spawn(async move {
         while let Some(Ok(signal)) = signals.next().await {
-            info!(stopping.logger, "signal received";
+            info!(stopping.logger(), "signal received";
                 "code" => "CS2006", "signal" => format!("{signal:?}"));
             stopping.tell(Event::Leaving);
         }
     });
     Ok(())
 }
+
+/// Reads the settings again on every SIGHUP. Connections that are open keep the keys that they
+/// began with; new ones use the new keys.
+pub fn spawn_reload(daemon: &Rc<Daemon>, reload: Reload) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Hup])?;
+    let daemon = daemon.clone();
+    daemon.clone().spawn(async move {
+        let Reload { mut settings, file } = reload;
+        while signals.next().await.is_some() {
+            match settings::reload_agent(&settings, &file) {
+                Ok(new) => {
+                    daemon.apply(&settings, &new);
+                    settings = new;
+                    info!(daemon.logger(), "settings reloaded"; "code" => "CS2008");
+                }
+                Err(error) => error!(daemon.logger(), "settings not reloaded";
+                    "code" => "CS2008", "file" => &error.file, "line" => error.line,
+                    "field" => &error.field, "fix" => &error.fix),
+            }
+        }
+    });
+    Ok(())
+}
+
+impl Daemon {
+    fn apply(self: &Rc<Self>, old: &AgentSettings, new: &AgentSettings) {
+        if let Some(keys) = startup::keyring(&new.keys) {
+            self.keys.replace(keys);
+        }
+        if new.log != old.log {
+            let incarnation = self.agent.borrow().incarnation();
+            *self.logger.borrow_mut() = start::logger(new, incarnation);
+        }
+        self.tell(Event::Concurrency(start::concurrency(new)));
+    }
+}
--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -1,5 +1,6 @@
 //! Start of the daemon from its settings.
 
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -14,27 +15,27 @@
 use platform::RetryOptions;
 use platform::SystemTimer;
 use settings::AgentSettings;
+use slog::Logger;
 use slog::o;
+use types::Incarnation;
 use types::SystemClock;
 
 use crate::daemon::Parts;
+use crate::daemon::Reload;
 use crate::daemon::serve;
 use crate::daemon::wall_ms;
 use crate::limits::Limits;
 
-/// Runs the agent until it is asked to stop or loses its target.
+/// Runs the agent until it is asked to stop or loses its target. `file` is read again on SIGHUP.
 ///
 /// # Errors
 ///
 /// The port is taken, another run of the agent holds the target, or the target was withdrawn.
-pub fn run(settings: AgentSettings) -> eyre::Result<()> {
+pub fn run(settings: AgentSettings, file: &Path) -> eyre::Result<()> {
     let limits = limits(&settings);
     let keys = startup::keyring(&settings.keys)
         .ok_or_else(|| eyre!("field `keys`: state at least one key"))?;
-    let logger = startup::logger(settings.log).new(o!(
-        "target" => limits.target.clone(),
-        "incarnation" => format!("{:016x}", limits.incarnation),
-    ));
+    let logger = logger(&settings, limits.incarnation);
     let table = HttpTable::new(settings.platform.table, HttpOptions::default());
     let context = GuardContext {
         clock: Rc::new(SystemClock),
@@ -56,14 +57,26 @@
         table: Rc::new(guarded),
         weights: Rc::new(weights),
         logger,
+        reload: Some(Reload {
+            settings,
+            file: file.to_owned(),
+        }),
     })
 }
 
+/// Logger whose records name the target and the run.
+pub fn logger(settings: &AgentSettings, incarnation: Incarnation) -> Logger {
+    startup::logger(settings.log).new(o!(
+        "target" => settings.target.name.clone(),
+        "incarnation" => format!("{incarnation:016x}"),
+    ))
+}
+
 fn limits(settings: &AgentSettings) -> Limits {
     let incarnation = startup::incarnation();
     let target = &settings.target;
     let advertised = settings.advertise.unwrap_or(settings.listen);
-    let concurrency = usize::try_from(settings.concurrency).unwrap_or(usize::MAX);
+    let concurrency = concurrency(settings);
     Limits {
         service: target.service.clone(),
         kind: target.kind,
@@ -79,3 +92,8 @@
         ..Limits::new(target.name.clone(), incarnation, advertised)
     }
 }
+
+/// Runs at the target at once.
+pub fn concurrency(settings: &AgentSettings) -> usize {
+    usize::try_from(settings.concurrency).unwrap_or(usize::MAX)
+}
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -96,6 +96,8 @@
 /// Input of the state machine.
 #[derive(Debug, Clone)]
 pub enum Event {
+    /// The settings allow another number of runs at the target at once.
+    Concurrency(usize),
     /// An entry's message.
     Message {
         /// Connection that it came on.
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use types::CacheEvent;
+use types::Incarnation;
 use wire::Datagram;
 use wire::Hello;
 use wire::ToAgent;
@@ -66,6 +67,12 @@
         self.attempts.in_service()
     }
 
+    /// This run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.limits.incarnation
+    }
+
     /// Counts and flags of the next load report.
     #[must_use]
     pub fn load(&self) -> &LoadBook {
@@ -121,6 +128,9 @@
                 self.orders.row_event(now, event, &mut out);
                 self.advance(now, &mut out);
             }
+            Event::Concurrency(concurrency) => {
+                self.attempts.set_concurrency(now, concurrency, &mut out);
+            }
             Event::Leaving => self.leave(now, &mut out),
             Event::Tick => self.tick(now, &mut out),
         }
--- a/components/agent/tests/daemon/main.rs
+++ b/components/agent/tests/daemon/main.rs
@@ -95,6 +95,7 @@
             table: Rc::new(table),
             weights: Rc::new(MemoryWeightStore::new(Rc::new(SystemClock), Duration::ZERO)),
             logger: slog::Logger::root(slog::Discard, slog::o!()),
+            reload: None,
         })
     });
     agent
--- a/components/entry/src/daemon/signals.rs
+++ b/components/entry/src/daemon/signals.rs
@@ -64,11 +64,8 @@
 }
 
 fn reload(daemon: &Daemon, ports: &Ports) -> Result<(), String> {
-    let new = settings::load_entry(&daemon.file).map_err(|error| error.to_string())?;
-    let merged = daemon
-        .settings()
-        .reloaded(&new)
-        .map_err(|fault| format!("{}: {}", fault.field, fault.fix))?;
+    let merged = settings::reload_entry(&daemon.settings(), &daemon.file)
+        .map_err(|error| error.to_string())?;
     let keys = startup::keyring(&merged.keys).ok_or("`keys` is empty")?;
     ports.callers.set_limits(&merged.limits);
     ports.operators.set_operators(&merged.operators);
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -19,6 +19,7 @@
 use crate::sections::Log;
 use crate::sections::PlatformAddresses;
 use crate::sections::first_fault;
+use crate::sections::rotate_keys;
 use crate::sections::validate_keys;
 
 /// Settings of an agent.
@@ -178,6 +179,7 @@
             ("region", self.region != new.region),
             ("place", self.place != new.place),
             ("listen", self.listen != new.listen),
+            ("advertise", self.advertise != new.advertise),
             ("platform", self.platform != new.platform),
             ("order_poll_ms", self.order_poll_ms != new.order_poll_ms),
             (
@@ -191,7 +193,7 @@
                 field: (*field).to_owned(),
                 fix: "restart the agent to change this field".to_owned(),
             }),
-            None => Ok(new.clone()),
+            None => rotate_keys(&self.keys, &new.keys).map(|()| new.clone()),
         }
     }
 }
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::sections::OperatorSettings;
 use crate::sections::PlatformAddresses;
 use crate::sections::first_fault;
+use crate::sections::rotate_keys;
 use crate::sections::validate_keys;
 use crate::sections::validate_operators;
 
@@ -218,7 +219,7 @@
                 field: (*field).to_owned(),
                 fix: "restart the entry to change this field".to_owned(),
             }),
-            None => Ok(new.clone()),
+            None => rotate_keys(&self.keys, &new.keys).map(|()| new.clone()),
         }
     }
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -4,9 +4,9 @@
 //! error names file, line, field and the fix.
 //!
 //! These sections can be replaced while a daemon runs, without closing a connection: `keys`,
-//! `operators`, `limits`, `intervals` and `log` of an entry; `keys`, `concurrency` and `log` of an
-//! agent. Everything else needs a restart; [`EntrySettings::reloaded`] and
-//! [`AgentSettings::reloaded`] name the field that does.
+//! `operators` and `limits` of an entry; `keys`, `concurrency` and `log` of an agent. Everything
+//! else needs a restart; [`EntrySettings::reloaded`] and [`AgentSettings::reloaded`] name the
+//! field that does.
 
 mod agent;
 mod entry;
@@ -28,6 +28,8 @@
 pub use load::load_agent;
 pub use load::load_entry;
 pub use load::parse;
+pub use load::reload_agent;
+pub use load::reload_entry;
 pub use sections::CallerIdentity;
 pub use sections::Daemon;
 pub use sections::Fault;
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -85,6 +85,32 @@
     parse_as(&file, &read(path)?, AgentSettings::validate)
 }
 
+/// Reads the file of a running entry again.
+///
+/// # Errors
+///
+/// The first fault in the file, or the first field that needs a restart.
+pub fn reload_entry(current: &EntrySettings, path: &Path) -> Result<EntrySettings, SettingsError> {
+    let file = path.display().to_string();
+    parse_as(&file, &read(path)?, |new: &EntrySettings| {
+        new.validate()?;
+        current.reloaded(new).map(drop)
+    })
+}
+
+/// Reads the file of a running agent again.
+///
+/// # Errors
+///
+/// The first fault in the file, or the first field that needs a restart.
+pub fn reload_agent(current: &AgentSettings, path: &Path) -> Result<AgentSettings, SettingsError> {
+    let file = path.display().to_string();
+    parse_as(&file, &read(path)?, |new: &AgentSettings| {
+        new.validate()?;
+        current.reloaded(new).map(drop)
+    })
+}
+
 /// Parses settings of either daemon; `file` appears in errors only.
 ///
 /// # Errors
@@ -129,7 +155,7 @@
 fn parse_as<T: DeserializeOwned>(
     file: &str,
     text: &str,
-    validate: fn(&T) -> Result<(), Fault>,
+    validate: impl FnOnce(&T) -> Result<(), Fault>,
 ) -> Result<T, SettingsError> {
     let tree = tree(file, text)?;
     let settings: T = parse_to_serde_value(text, &options())
--- a/components/settings/src/sections.rs
+++ b/components/settings/src/sections.rs
@@ -201,6 +201,35 @@
     ])
 }
 
+/// Checks that every daemon that has the old keys or the new ones accepts what the others sign:
+/// a reload reaches the daemons one after the other.
+pub(crate) fn rotate_keys(old: &[KeySettings], new: &[KeySettings]) -> Result<(), Fault> {
+    let (Some(signed), Some(signs)) = (old.first(), new.first()) else {
+        return validate_keys(new);
+    };
+    let keeps_secret = |key: &KeySettings| {
+        let held = old.iter().find(|held| held.id == key.id);
+        held.is_none_or(|held| held.secret == key.secret)
+    };
+    first_fault(&[
+        (
+            new.iter().all(keeps_secret),
+            "keys",
+            "give the new secret an id that is not in use",
+        ),
+        (
+            old.iter().any(|key| key.id == signs.id),
+            "keys",
+            "put the new key second and reload every daemon before it is put first",
+        ),
+        (
+            new.iter().any(|key| key.id == signed.id),
+            "keys",
+            "keep the key that was first as the second one, and remove it by a later reload",
+        ),
+    ])
+}
+
 pub(crate) fn validate_operators(operators: &[OperatorSettings]) -> Result<(), Fault> {
     let unique = |index: usize| {
         operators[..index]
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -168,6 +168,32 @@
     assert_eq!(old.reloaded(&moved).unwrap_err().field, "addresses");
 }
 
+// Guards against a reload that ignores a changed field, and against a step of a rotation after
+// which daemons that were not reloaded yet would be refused.
+#[test]
+fn refuses_what_an_agent_cannot_change_while_it_runs() {
+    let Loaded::Agent(old) = parse("f", AGENT).unwrap() else {
+        panic!("not an agent");
+    };
+    let field_after = |change: fn(&mut settings::AgentSettings)| {
+        let mut new = old.clone();
+        change(&mut new);
+        old.reloaded(&new).err().map(|fault| fault.field)
+    };
+    assert_eq!(field_after(|new| new.concurrency = 7), None);
+    assert_eq!(field_after(|new| new.keys.truncate(1)), None);
+    assert_eq!(field_after(|new| new.keys.swap(0, 1)), None);
+    let refused = Some("keys".to_owned());
+    let without_first = field_after(|new| {
+        new.keys.remove(0);
+    });
+    assert_eq!(without_first, refused);
+    assert_eq!(field_after(|new| new.keys[0].id = 3), refused);
+    assert_eq!(field_after(|new| new.keys[1].secret.0[0] ^= 1), refused);
+    let moved = field_after(|new| new.advertise = Some(new.target.address));
+    assert_eq!(moved.as_deref(), Some("advertise"));
+}
+
 // Guards against a nested file that overflows the stack.
 #[test]
 fn deeply_nested_files_give_typed_errors() {
--- a/components/testbed/src/daemon.rs
+++ b/components/testbed/src/daemon.rs
@@ -29,5 +29,5 @@
     if kind == "entry" {
         return entry::run(settings::load_entry(file)?, file);
     }
-    agent::run(settings::load_agent(file)?)
+    agent::run(settings::load_agent(file)?, file)
 }
--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -35,7 +35,8 @@
 /// Plain service, whose calls may not be repeated.
 pub const PLAIN_SERVICE: &str = "ordenes-mulas";
 const TOKEN: &str = "testbed-token-of-the-operator-000001";
-const KEY: &str = "8f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b4962";
+/// Secret of the key with the id 1, which all daemons start with.
+pub const KEY: &str = "8f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b4962";
 /// Time for everything to come up.
 const START_MS: Duration = Duration::from_secs(30);
 const POLL_MS: Duration = Duration::from_millis(100);
@@ -162,6 +163,22 @@
         self.operators(entry).execute(&request).await.is_ok()
     }
 
+    /// Replaces fields of a daemon's settings in its file; the daemon is not told.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read or written.
+    pub fn change_settings(&self, daemon: &Process, fields: &Value) -> eyre::Result<()> {
+        let file = self.folder.join(format!("{}.jsonc", daemon.name()));
+        let shown = || format!("cannot change {}", file.display());
+        let text = std::fs::read_to_string(&file).wrap_err_with(shown)?;
+        let mut settings: Value = serde_json::from_str(&text).wrap_err_with(shown)?;
+        for (field, value) in fields.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
+        std::fs::write(&file, settings.to_string()).wrap_err_with(shown)
+    }
+
     /// Stops entries and agents gracefully; returns those that did not end with status 0.
     pub async fn stop(&self) -> Vec<String> {
         let mut unclean = Vec::new();
--- a/components/testbed/src/process.rs
+++ b/components/testbed/src/process.rs
@@ -114,6 +114,21 @@
         self.signal(Signal::CONT);
     }
 
+    /// Asks the process to read its settings again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// What the process has logged so far.
+    ///
+    /// # Errors
+    ///
+    /// The log cannot be read.
+    pub fn logged(&self) -> eyre::Result<String> {
+        std::fs::read_to_string(&self.log)
+            .wrap_err_with(|| format!("cannot read {}", self.log.display()))
+    }
+
     /// Stops the process gracefully; true if it ended with status 0.
     pub async fn stop(&mut self) -> bool {
         self.resume();
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -22,7 +22,7 @@
 
 pub(super) fn agent(file: &Path) -> CommandResult {
     let settings = settings::load_agent(file)?;
-    ended(agent::run(settings))
+    ended(agent::run(settings, file))
 }
 
 pub(super) fn check(file: &Path) -> CommandResult {
