--- a/components/entry/src/daemon/operator.rs
+++ b/components/entry/src/daemon/operator.rs
@@ -67,12 +67,14 @@
     fn status(&self) -> Value {
         let now = self.daemon.clock.now();
         let mut status = self.daemon.core.borrow().status(now);
+        let settings = self.daemon.settings();
         let heads = self.daemon.heads.borrow();
         let entries: Vec<Value> = heads
             .iter()
             .map(|(address, (revision, seen))| {
                 let age_ms = now.saturating_duration_since(*seen).as_millis();
-                json!({"address": address, "revision": revision, "age_ms": age_ms})
+                let name = settings.peer_name(*address);
+                json!({"name": name, "address": address, "revision": revision, "age_ms": age_ms})
             })
             .collect();
         status["entries"] = Value::Array(entries);
--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -29,9 +29,7 @@
         lease_ms: settings.intervals.lease_ms,
         address: own,
         peers: settings
-            .peers
-            .iter()
-            .copied()
+            .peer_addresses()
             .filter(|peer| *peer != own)
             .collect(),
     }
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -11,6 +11,8 @@
 use types::HostName;
 use types::Place;
 
+use crate::peer::Peer;
+use crate::peer::validate_peers;
 use crate::section::section;
 use crate::sections::CallerIdentity;
 use crate::sections::Daemon;
@@ -45,9 +47,9 @@
     pub distance_ms: BTreeMap<Place, Duration>,
     /// Addresses to listen on.
     pub addresses: Addresses,
-    /// Peers' addresses of the other entries; this entry's own is ignored.
+    /// The other entries; this entry's own address is ignored.
     #[serde(default)]
-    pub peers: Vec<SocketAddr>,
+    pub peers: Vec<Peer>,
     /// Addresses of the platform's services.
     pub platform: PlatformAddresses,
     /// Keys; the first one signs.
@@ -163,6 +165,7 @@
             (!self.place.is_empty(), "place", "name the data centre"),
         ])?;
         self.validate_addresses()?;
+        validate_peers(&self.peers, (&self.name, self.addresses.peers))?;
         validate_keys(&self.keys)?;
         validate_operators(&self.operators)?;
         self.limits.validate()?;
@@ -170,6 +173,18 @@
         self.intervals.validate()
     }
 
+    /// Addresses of `peers`, in order.
+    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.iter().map(|peer| peer.address)
+    }
+
+    /// Name of the entry that other entries reach by an address, if the settings state it.
+    #[must_use]
+    pub fn peer_name(&self, address: SocketAddr) -> Option<&str> {
+        let peer = self.peers.iter().find(|peer| peer.address == address);
+        peer?.name.as_deref()
+    }
+
     fn validate_addresses(&self) -> Result<(), Fault> {
         let addresses = self.addresses;
         first_fault(&[
@@ -204,7 +219,7 @@
             ("place", self.place != new.place),
             ("distance_ms", self.distance_ms != new.distance_ms),
             ("addresses", self.addresses != new.addresses),
-            ("peers", self.peers != new.peers),
+            ("peers", !self.peer_addresses().eq(new.peer_addresses())),
             ("platform", self.platform != new.platform),
             (
                 "caller_identity",
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -4,13 +4,14 @@
 //! error names file, line, field and the fix.
 //!
 //! These sections can be replaced while a daemon runs, without closing a connection: `keys`,
-//! `operators` and `limits` of an entry; `keys`, `concurrency` and `log` of an agent. Everything
+//! `operators`, `limits` and the names in `peers` of an entry; `keys`, `concurrency` and `log` of an agent. Everything
 //! else needs a restart; [`EntrySettings::reloaded`] and [`AgentSettings::reloaded`] name the
 //! field that does.
 
 mod agent;
 mod entry;
 mod load;
+mod peer;
 mod section;
 mod sections;
 
@@ -30,6 +31,7 @@
 pub use load::parse;
 pub use load::reload_agent;
 pub use load::reload_entry;
+pub use peer::Peer;
 pub use sections::CallerIdentity;
 pub use sections::Daemon;
 pub use sections::Fault;
--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -271,7 +271,10 @@
     }
 
     fn start_entries(&self) -> eyre::Result<()> {
-        let peers: Vec<SocketAddr> = self.addresses.iter().map(|a| a.peers).collect();
+        let peers = self.addresses.iter().enumerate();
+        let peers: Vec<Value> = peers
+            .map(|(index, a)| json!({"name": format!("entry-{index}"), "address": a.peers}))
+            .collect();
         for (index, addresses) in self.addresses.iter().enumerate() {
             let name = format!("entry-{index}");
             let settings = json!({
--- a/components/testbed/tests/reload.rs
+++ b/components/testbed/tests/reload.rs
@@ -53,6 +53,7 @@
         let mut agents = deployment.agents.take();
         rotates_keys_without_a_cut_request(&deployment, &entries, &agents, &executor).await?;
         keeps_the_old_settings_when_a_file_cannot_be_used(&deployment, &mut agents[0]).await?;
+        shows_names_of_entries(&deployment).await?;
         deployment.entries.replace(entries);
         deployment.agents.replace(agents);
         let unclean = deployment.stop().await;
@@ -143,6 +144,16 @@
     Ok(())
 }
 
+/// Guards against a status that operators have to read with a list of addresses beside it.
+async fn shows_names_of_entries(deployment: &Deployment) -> eyre::Result<()> {
+    let status = deployment.operators(0).status().await;
+    let status = status.map_err(|error| eyre::eyre!("{error}"))?;
+    let entries = &status["entries"];
+    ensure!(entries[0]["name"] == "entry-1", "{entries}");
+    ensure!(entries[0]["address"].is_string(), "{entries}");
+    Ok(())
+}
+
 /// Changes the file of a daemon, tells it, and returns the record that it logs.
 async fn reload(
     deployment: &Deployment,
--- a/src/cmd/profile.rs
+++ b/src/cmd/profile.rs
@@ -65,13 +65,14 @@
     let mut shown = to_value(&found.profile)?;
     if let Some(fields) = shown.as_object_mut() {
         fields.insert("revision".to_owned(), found.revision.into());
-        fields.insert("not_yet_in_force_on".to_owned(), behind.into());
-    }
-    if options.json {
-        output::print_json(&shown);
-    } else {
-        print!("{}", output::render(&shown));
+        let behind = if options.json {
+            behind.into()
+        } else {
+            behind.iter().map(output::entry).collect()
+        };
+        fields.insert("not_yet_in_force_on".to_owned(), behind);
     }
+    print(options, &shown);
     Ok(())
 }
 
@@ -84,15 +85,18 @@
 }
 
 /// Entries of a status whose revision is lower.
-fn entries_behind(status: &Value, revision: Revision) -> Vec<String> {
+fn entries_behind(status: &Value, revision: Revision) -> Vec<Value> {
     let entries = status["entries"].as_array();
     entries
         .into_iter()
         .flatten()
         .filter(|entry| entry["revision"].as_u64().is_some_and(|at| at < revision))
-        .filter_map(|entry| {
-            let name = entry["name"].as_str().or(entry["address"].as_str());
-            name.map(str::to_owned)
+        .map(|entry| {
+            serde_json::json!({
+                "name": entry["name"],
+                "address": entry["address"],
+                "revision": entry["revision"],
+            })
         })
         .collect()
 }
--- a/src/output.rs
+++ b/src/output.rs
@@ -52,6 +52,15 @@
     align(&rows)
 }
 
+/// Name and address of an entry in a status; the address alone if the settings do not name it.
+pub fn entry(entry: &Value) -> String {
+    match (entry["name"].as_str(), entry["address"].as_str()) {
+        (Some(name), Some(address)) => format!("{name} ({address})"),
+        (Some(known), None) | (None, Some(known)) => known.to_owned(),
+        (None, None) => String::new(),
+    }
+}
+
 /// One line about a command that succeeded.
 pub fn outcome(outcome: &CommandOutcome) -> String {
     let change = &outcome.change;
