--- a/components/agent/src/daemon/server.rs
+++ b/components/agent/src/daemon/server.rs
@@ -58,7 +58,16 @@
             };
             let decoded = Datagram::decode(&buffer[..count], &receiving.keys.borrow());
             match decoded {
-                Ok(Datagram::Probe { sequence, .. }) => {
+                Ok(Datagram::Probe {
+                    entry,
+                    sequence,
+                    head,
+                }) => {
+                    receiving.tell(Event::Watched {
+                        entry,
+                        sequence,
+                        head,
+                    });
                     receiving.tell(Event::Probe { from, sequence });
                 }
                 Ok(_) => {}
--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -87,6 +87,7 @@
         concurrency,
         queue: concurrency,
         order_poll_ms: settings.order_poll_ms,
+        order_backup_poll_ms: settings.order_backup_poll_ms,
         order_settle_ms: settings.order_settle_ms,
         notice_ms: settings.drain.notice_ms,
         ..Limits::new(target.name.clone(), incarnation, advertised)
--- a/components/agent/src/describe.rs
+++ b/components/agent/src/describe.rs
@@ -2,12 +2,20 @@
 
 use std::time::Instant;
 
+use types::OrderNumber;
+
 use crate::change::Change;
 use crate::load::LoadBook;
 use crate::orders::Orders;
 use crate::registration::recorded;
 
 impl Orders {
+    /// Number of the order that was read last.
+    #[must_use]
+    pub fn read_number(&self) -> OrderNumber {
+        self.latest.as_ref().map_or(0, |latest| latest.number)
+    }
+
     /// Whether an order of unknown outcome may still take effect, and would cut work off. An
     /// earlier run has left one only if its order is not recorded as executed.
     fn awaits_quiet(&self, now: Instant) -> bool {
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -10,8 +10,10 @@
 use serde::Serialize;
 use types::AttemptId;
 use types::CacheEvent;
+use types::Incarnation;
 use types::Loaded;
 use types::Order;
+use types::Revision;
 use types::Role;
 use types::Work;
 use wire::Datagram;
@@ -96,6 +98,15 @@
 /// Input of the state machine.
 #[derive(Debug, Clone)]
 pub enum Event {
+    /// An entry probed the target; while it knows the head revision it announces orders.
+    Watched {
+        /// Run of the entry.
+        entry: Incarnation,
+        /// Grows with every probe.
+        sequence: u64,
+        /// Head revision, or 0 if the entry may have missed changes.
+        head: Revision,
+    },
     /// The settings allow another number of runs at the target at once.
     Concurrency(usize),
     /// An entry's message.
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod attempts;
 mod change;
+mod cover;
 pub mod daemon;
 mod describe;
 mod engine_view;
--- a/components/agent/src/limits.rs
+++ b/components/agent/src/limits.rs
@@ -79,8 +79,10 @@
     pub kept_ms: Duration,
     /// Non-idempotent attempts remembered one by one.
     pub memory_limit: usize,
-    /// Time between two reads of the order row.
+    /// Time between two reads of the order row while no entries announce orders.
     pub order_poll_ms: Duration,
+    /// The same while they do.
+    pub order_backup_poll_ms: Duration,
     /// Time after which an order of an earlier run can no longer reach the engine.
     pub order_settle_ms: Duration,
     /// Time between the report that the target is leaving and the end of the process, so that
@@ -118,6 +120,7 @@
             kept_ms: Duration::from_mins(10),
             memory_limit: 65_536,
             order_poll_ms: Duration::from_secs(2),
+            order_backup_poll_ms: Duration::from_secs(15),
             order_settle_ms: Duration::from_secs(10),
             notice_ms: Duration::from_secs(2),
         }
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::refuse_connection;
 use crate::attempts::Attempts;
+use crate::cover::Cover;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::Event;
@@ -38,6 +39,7 @@
     orders: Orders,
     /// Open connections that have said `Hello`, with the time of their last frame.
     connections: BTreeMap<ConnectionId, Instant>,
+    cover: Cover,
     leaving_since: Option<Instant>,
     idle_since: Option<Instant>,
     ticked: Option<Instant>,
@@ -54,6 +56,7 @@
             orders: Orders::new(limits.clone()),
             limits,
             connections: BTreeMap::new(),
+            cover: Cover::default(),
             leaving_since: None,
             idle_since: None,
             ticked: None,
@@ -91,6 +94,7 @@
                 message,
             } => self.message(now, connection, message, &mut out),
             Event::Disconnected { connection } => {
+                self.cover.disconnected(connection);
                 if self.connections.remove(&connection).is_some() {
                     self.attempts.disconnected(now, connection, &mut out);
                 }
@@ -128,6 +132,11 @@
                 self.orders.row_event(now, event, &mut out);
                 self.advance(now, &mut out);
             }
+            Event::Watched {
+                entry,
+                sequence,
+                head,
+            } => self.cover.probed(now, entry, sequence, head),
             Event::Concurrency(concurrency) => {
                 self.attempts.set_concurrency(now, concurrency, &mut out);
             }
@@ -183,7 +192,7 @@
                 .attempts
                 .forbid(now, connection, attempt, incarnation, out),
             ToAgent::OrderHint { number } => {
-                if number > self.attempts.load.applied {
+                if number > self.orders.read_number() {
                     self.orders.row.hint();
                     self.advance(now, out);
                 }
@@ -210,6 +219,7 @@
             return;
         }
         self.connections.insert(connection, now);
+        self.cover.connected(connection, hello.process);
         out.push(Action::Send {
             connection,
             message: ToEntry::Welcome {
@@ -266,6 +276,7 @@
             .collect();
         for connection in silent {
             self.connections.remove(&connection);
+            self.cover.disconnected(connection);
             self.attempts.disconnected(now, connection, out);
             out.push(Action::Close { connection });
         }
@@ -275,6 +286,11 @@
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
         let in_service = self.attempts.in_service();
         let before = flags(&self.attempts.load);
+        self.orders.row.poll_ms = if self.cover.is_covered(now) {
+            self.limits.order_backup_poll_ms
+        } else {
+            self.limits.order_poll_ms
+        };
         self.orders.advance(now, in_service, out);
         self.orders.describe(now, &mut self.attempts.load);
         // A stage that was entered just now is carried on at once.
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -215,7 +215,7 @@
         out: &mut Vec<Action>,
     ) {
         self.has_polled = true;
-        let seen = self.latest.as_ref().map_or(0, |latest| latest.number);
+        let seen = self.read_number();
         let read = order.as_ref().map_or(0, |order| order.number);
         if read < seen {
             return;
--- a/components/agent/src/row.rs
+++ b/components/agent/src/row.rs
@@ -4,6 +4,7 @@
 //! versions; a lost reply is resolved by reading again.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use control::Meta;
@@ -60,7 +61,9 @@
     rows: RowSet,
     next_operation: OperationId,
     retry_at: Option<Instant>,
-    poll_at: Option<Instant>,
+    polled: Option<Instant>,
+    /// Time between two reads of the order row.
+    pub poll_ms: Duration,
     first_event: Option<Instant>,
     /// The row as this run last wrote or read it; `None` until it is held.
     pub held: Option<Target>,
@@ -71,12 +74,13 @@
     #[must_use]
     pub fn new(limits: Rc<Limits>) -> Self {
         Self {
+            poll_ms: limits.order_poll_ms,
             limits,
             pending: None,
             rows: RowSet::default(),
             next_operation: 1,
             retry_at: None,
-            poll_at: None,
+            polled: None,
             first_event: None,
             held: None,
         }
@@ -91,17 +95,17 @@
     /// Whether the order row is due to be read.
     #[must_use]
     pub fn is_poll_due(&self, now: Instant) -> bool {
-        self.poll_at.is_none_or(|at| now >= at)
+        self.polled.is_none_or(|at| now >= at + self.poll_ms)
     }
 
     /// The order row is read at the next chance.
     pub fn hint(&mut self) {
-        self.poll_at = None;
+        self.polled = None;
     }
 
     /// Reads the target row and the order row.
     pub fn poll(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.poll_at = Some(now + self.limits.order_poll_ms);
+        self.polled = Some(now);
         let keys = vec![
             keys::target(&self.limits.target),
             keys::order(&self.limits.target),
--- a/components/agent/tests/orders/main.rs
+++ b/components/agent/tests/orders/main.rs
@@ -13,7 +13,9 @@
 use types::Loaded;
 use types::OrderKind;
 use types::Role;
+use wire::Hello;
 use wire::Rejection;
+use wire::ToAgent;
 use wire::ToEntry;
 
 use crate::world::SETTLE_MS;
@@ -189,3 +191,65 @@
     assert_eq!(world.exit, Some(ExitReason::Stopped));
     assert_eq!(world.target().map(|target| target.incarnation), Some(0));
 }
+
+/// Reads of the table in 30 s in which these entries probe and state these heads.
+fn reads_while_probed(world: &mut World, sequence: &mut u64, heads: &[u64]) -> usize {
+    let before = world.reads;
+    for _ in 0..60 {
+        *sequence += 1;
+        for (entry, head) in (1..).zip(heads) {
+            world.event(Event::Watched {
+                entry,
+                sequence: *sequence,
+                head: *head,
+            });
+        }
+        world.wait(Duration::from_millis(500));
+    }
+    world.reads - before
+}
+
+/// Guards against polls that the table cannot take from a large fleet, and against an order that
+/// is found late when the entries that would announce it are gone or have lost the table.
+#[test]
+fn reads_its_rows_rarely_only_while_two_current_entries_announce_orders() {
+    let mut world = World::new();
+    world.wait(Duration::from_secs(1));
+    let mut sequence = 0;
+    for entry in 1..=2 {
+        world.event(Event::Message {
+            connection: entry,
+            message: ToAgent::Hello(Hello {
+                process: entry,
+                to: TARGET.to_owned(),
+            }),
+        });
+    }
+    assert!(reads_while_probed(&mut world, &mut sequence, &[9, 9]) <= 3);
+    world.message(ToAgent::OrderHint { number: 1 });
+    world.give(role(Role::Decode), false);
+    world.wait(Duration::from_millis(500));
+    assert!(world.agent.load().away, "the hint was followed");
+    for heads in [&[9, 0][..], &[9], &[]] {
+        let reads = reads_while_probed(&mut world, &mut sequence, heads);
+        assert!(reads >= 14, "{reads} reads with {heads:?}");
+    }
+    let mut repeated = 0;
+    assert!(reads_while_probed(&mut world, &mut repeated, &[9, 9]) >= 14);
+}
+
+/// Guards against repeated hints of many entries that each cost a read of the table.
+#[test]
+fn reads_nothing_for_a_hint_at_an_order_that_it_has_read() {
+    let mut world = World::new();
+    world.wait(Duration::from_secs(1));
+    world.dispatch(Loaded::default());
+    world.give(role(Role::Decode), false);
+    world.wait(Duration::from_secs(3));
+    let before = world.reads;
+    for _ in 0..100 {
+        world.message(ToAgent::OrderHint { number: 1 });
+        world.wait(Duration::from_millis(20));
+    }
+    assert!(world.reads <= before + 3, "{}", world.reads - before);
+}
--- a/components/agent/tests/orders/world.rs
+++ b/components/agent/tests/orders/world.rs
@@ -51,6 +51,8 @@
     pub pass_fault: u8,
     pub jitter: u32,
     pub requests: u64,
+    /// Reads of the table so far.
+    pub reads: usize,
     pub messages: Vec<ToEntry>,
     pub exit: Option<ExitReason>,
 }
@@ -86,6 +88,7 @@
             pass_fault: 0,
             jitter: 1,
             requests: 0,
+            reads: 0,
             messages: Vec::new(),
             exit: None,
         }
@@ -157,6 +160,10 @@
 
     pub fn event(&mut self, event: Event) {
         for action in self.agent.handle(self.now, event) {
+            let reads = |request: &TableRequest| matches!(request, TableRequest::Read(_));
+            if matches!(&action, Action::Table { request, .. } if reads(request)) {
+                self.reads += 1;
+            }
             match action {
                 Action::Start { run, .. } => {
                     self.engine.runs.insert(run);
--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -6,10 +6,12 @@
 
 mod behind;
 mod event;
+mod exchange;
 mod options;
 
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use platform::PlatformError;
@@ -19,7 +21,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use types::Change;
-use types::Incarnation;
 use types::Revision;
 
 pub use behind::Behind;
@@ -31,9 +32,7 @@
 use crate::loading;
 use crate::loading::Loading;
 use crate::loading::Step;
-use crate::peers::PeerAnswer;
 use crate::peers::PeerSnapshots;
-use crate::peers::answers;
 use crate::rows::Head;
 use crate::rows::RowError;
 use crate::rows::decode;
@@ -43,6 +42,10 @@
 /// from now. A peer that lacks more gets a snapshot.
 const RECENT_RECORDS: usize = 1024;
 
+/// Time after a read of the table in which the snapshot is taken for current. Agents that are
+/// not told of orders look for them themselves this long after an entry has lost the table.
+const CURRENT_MS: Duration = Duration::from_secs(2);
+
 /// Call under way.
 #[derive(Debug)]
 enum Call {
@@ -66,6 +69,8 @@
     silent_since: Option<Instant>,
     /// The last call failed.
     failing: bool,
+    /// Every change before this time is applied.
+    current_as_of: Option<Instant>,
     next_poll: Instant,
     /// When the log was last read because of a hint or a poll.
     last_log: Option<Instant>,
@@ -88,6 +93,7 @@
             last_operation: 0,
             silent_since: None,
             failing: false,
+            current_as_of: None,
             next_poll: now,
             last_log: None,
             next_ask: now,
@@ -109,6 +115,13 @@
             .map_or(0, |snapshot| snapshot.revision())
     }
 
+    /// Whether every change but those of the last two seconds is in force, as the table says.
+    #[must_use]
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.current_as_of
+            .is_some_and(|at| now.saturating_duration_since(at) < CURRENT_MS)
+    }
+
     /// How far the snapshot is behind what was heard of; `None` if it is not.
     #[must_use]
     pub fn behind(&self, now: Instant) -> Option<Behind> {
@@ -221,7 +234,7 @@
         result: Result<TableReply, PlatformError>,
         actions: &mut Vec<FollowerAction>,
     ) {
-        let Some((_, _, call)) = self.call.take_if(|call| call.0 == operation) else {
+        let Some((_, sent, call)) = self.call.take_if(|call| call.0 == operation) else {
             return;
         };
         let Ok(TableReply::Rows(rows)) = result else {
@@ -230,11 +243,19 @@
         };
         self.failing = false;
         self.silent_since = None;
+        let is_whole = match call {
+            Call::Head => true,
+            Call::Log => rows.len() < loading::PAGE_ROWS,
+            Call::Loading(_) => false,
+        };
         let outcome = match call {
             Call::Head => self.read_head(now, &rows),
             Call::Log => self.read_log(now, &rows, actions),
             Call::Loading(loading) => self.read_page(now, *loading, &rows, actions),
         };
+        if is_whole && outcome.is_ok() && self.known <= self.applied() {
+            self.current_as_of = Some(sent);
+        }
         if let Err(error) = outcome {
             actions.push(FollowerAction::Rejected {
                 detail: error.to_string(),
@@ -343,67 +364,4 @@
         self.snapshot = Some(Rc::clone(&snapshot));
         actions.push(FollowerAction::Applied { snapshot, changes });
     }
-
-    fn answer(&self, peer: Incarnation, after: Revision, actions: &mut Vec<FollowerAction>) {
-        let Some(snapshot) = &self.snapshot else {
-            return;
-        };
-        for answer in answers(snapshot, &self.recent, after) {
-            actions.push(FollowerAction::AnswerPeer { peer, answer });
-        }
-    }
-
-    fn peer_answered(
-        &mut self,
-        now: Instant,
-        peer: Incarnation,
-        answer: PeerAnswer,
-        actions: &mut Vec<FollowerAction>,
-    ) {
-        self.heard_of(now, answer.head());
-        let before = self.applied();
-        match answer.decode() {
-            Err(detail) => actions.push(FollowerAction::Rejected { detail }),
-            Ok((PeerAnswer::Changes { .. }, changes)) => self.apply(now, changes, actions),
-            Ok((
-                PeerAnswer::Snapshot {
-                    head, part, parts, ..
-                },
-                records,
-            )) => {
-                if head > before || self.snapshot.is_none() {
-                    let whole = self.from_peers.add(peer, head, part, parts, records);
-                    if let Some(snapshot) = whole
-                        && !self.would_revert(&snapshot)
-                    {
-                        self.replace(now, snapshot, actions);
-                    }
-                }
-            }
-        }
-        if self.applied() > before {
-            // The answer may have been cut at its size limit.
-            self.next_ask = now;
-        }
-    }
-
-    /// Whether a first snapshot is older than a head that others have announced. An earlier run
-    /// of this process may have applied that head, and nothing may go back; without an answer of
-    /// a peer that has it, requests are refused as not ready.
-    fn would_revert(&self, snapshot: &Snapshot) -> bool {
-        self.snapshot.is_none() && snapshot.revision() < self.known
-    }
-
-    fn ask_peers(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
-        let silent = self.silent_since.is_some_and(|since| {
-            now.saturating_duration_since(since) >= self.options.peers_after_ms
-        });
-        if !silent || self.behind_since.is_none() || now < self.next_ask {
-            return;
-        }
-        self.next_ask = now + self.options.poll_ms;
-        actions.push(FollowerAction::AskPeer {
-            after: self.applied(),
-        });
-    }
 }
--- a/components/entry/src/core/configuration.rs
+++ b/components/entry/src/core/configuration.rs
@@ -10,7 +10,6 @@
 use platform::HostState;
 use platform::PlatformError;
 use request::Terms;
-use wire::ToAgent;
 
 use crate::core::Action;
 use crate::core::EntryCore;
@@ -56,7 +55,7 @@
         let before = self.applied.replace(Rc::clone(snapshot));
         self.set_terms(snapshot);
         self.set_targets(now, before.as_deref(), snapshot, actions);
-        self.send_order_hints(before.as_deref(), snapshot, actions);
+        self.send_order_hints(now, before.as_deref(), snapshot, actions);
         self.set_duties(now, snapshot);
         actions.push(Action::Note(Note::ConfigurationApplied {
             revision: snapshot.revision(),
@@ -118,7 +117,8 @@
     }
 
     fn send_order_hints(
-        &self,
+        &mut self,
+        now: Instant,
         before: Option<&Snapshot>,
         snapshot: &Snapshot,
         actions: &mut Vec<Action>,
@@ -128,12 +128,7 @@
             if old.is_some_and(|old| old.number >= order.number) {
                 continue;
             }
-            if let Some(link) = self.links.link(target) {
-                let message = ToAgent::OrderHint {
-                    number: order.number,
-                };
-                actions.push(Action::Send { link, message });
-            }
+            self.send_order_hint(now, target, order.number, actions);
         }
     }
 
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -8,7 +8,8 @@
 mod configuration;
 mod duties;
 pub mod event;
-pub mod journal;
+pub mod hints;
+mod journal;
 pub mod links;
 pub mod note;
 pub mod operations;
@@ -45,6 +46,7 @@
 pub use options::CoreOptions;
 
 use crate::core::duties::Duties;
+use crate::core::hints::Hints;
 use crate::core::journal::Journal;
 use crate::core::links::Links;
 use crate::core::operations::Operations;
@@ -80,6 +82,7 @@
     duties: Duties,
     operations: Operations,
     journal: Journal,
+    hints: Hints,
     leaving_hosts: BTreeSet<HostName>,
     hosts_due: Instant,
     hosts_failing: bool,
@@ -113,6 +116,7 @@
             duties: Duties::new(incarnation, &options, now),
             operations: Operations::default(),
             journal: Journal::default(),
+            hints: Hints::default(),
             leaving_hosts: BTreeSet::new(),
             hosts_due: now,
             hosts_failing: false,
@@ -240,10 +244,15 @@
         let links = self.links.tick(now);
         self.carry_out_links(now, links, actions);
         let head = self.follower.applied();
+        let is_current = self.follower.is_current(now);
         let outgoing = self.probes.tick(now, head, self.links.targets());
         actions.extend(outgoing.into_iter().map(|out| Action::SendDatagram {
             to: out.to,
-            datagram: out.datagram,
+            datagram: if is_current {
+                out.datagram
+            } else {
+                probes::without_head(out.datagram)
+            },
         }));
         if now >= self.hosts_due {
             self.hosts_due = now + self.options.hosts_poll_ms;
@@ -259,10 +268,12 @@
             return;
         }
         self.watch_due = now + WATCH_MS;
+        self.hints.forget_old(now);
         let in_use = self.requests.targets_in_use();
-        let probes = &self.probes;
-        let is_in_use =
-            |target: &TargetName| in_use.contains(target) || probes.is_unanswered(target);
+        let (probes, hints) = (&self.probes, &self.hints);
+        let is_in_use = |target: &TargetName| {
+            in_use.contains(target) || probes.is_unanswered(target) || hints.is_fresh(target)
+        };
         self.links.watch(now, is_in_use);
     }
 
--- a/components/entry/src/core/probes.rs
+++ b/components/entry/src/core/probes.rs
@@ -20,6 +20,22 @@
     pub datagram: Datagram,
 }
 
+/// A probe of an entry that may have missed changes. Agents look for orders themselves when too
+/// few probes state a head revision.
+#[must_use]
+pub fn without_head(datagram: Datagram) -> Datagram {
+    match datagram {
+        Datagram::Probe {
+            entry, sequence, ..
+        } => Datagram::Probe {
+            entry,
+            sequence,
+            head: 0,
+        },
+        other => other,
+    }
+}
+
 /// Probes of one target whose answers still count; older ones are taken for replays.
 const OUTSTANDING_PROBES: usize = 4;
 
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -119,6 +119,7 @@
             let links = self.links.welcomed(now, link, &target, incarnation);
             self.carry_out_links(now, links, actions);
             self.alive(now, &target, &load);
+            self.repeat_order_hint(now, &target, load.applied, actions);
             return;
         }
         let Some((target, incarnation)) = self.links.heard(now, link) else {
--- a/components/entry/tests/core.rs
+++ b/components/entry/tests/core.rs
@@ -26,6 +26,7 @@
 use platform::SystemTimer;
 use platform::Table;
 use types::Incarnation;
+use types::OrderKind;
 use types::Profile;
 use types::RefusalReason;
 use types::Reply;
@@ -34,6 +35,7 @@
 use types::ServiceKind;
 use types::Submission;
 use types::SystemClock;
+use wire::Datagram;
 use wire::ToAgent;
 use wire::ToEntry;
 
@@ -48,6 +50,8 @@
     link: Option<u64>,
     replies: Vec<Reply>,
     sent: Vec<ToAgent>,
+    /// Head that the latest probe stated.
+    head: u64,
 }
 
 impl Bench {
@@ -73,6 +77,7 @@
             link: None,
             replies: Vec::new(),
             sent: Vec::new(),
+            head: 0,
         }
     }
 
@@ -105,6 +110,17 @@
                 };
                 Some(Event::LinkMessage { link, message })
             }
+            Action::SendDatagram {
+                datagram: Datagram::Probe { sequence, head, .. },
+                ..
+            } => {
+                self.head = head;
+                Some(Event::Datagram(Datagram::Alive {
+                    target: target(0, ([127, 0, 0, 1], 9).into(), AGENT).name,
+                    sequence,
+                    load: load(AGENT),
+                }))
+            }
             Action::Reply { reply, .. } => {
                 self.replies.push(reply);
                 None
@@ -185,6 +201,11 @@
         self.sent.iter().filter(is_dispatch).count()
     }
 
+    fn hints(&self) -> usize {
+        let is_hint = |message: &&ToAgent| matches!(message, ToAgent::OrderHint { .. });
+        self.sent.iter().filter(is_hint).count()
+    }
+
     fn refusal(&self) -> Option<(RefusalReason, RunState)> {
         match self.replies.last() {
             Some(Reply::Refused(refusal)) => Some((refusal.reason, refusal.run)),
@@ -273,3 +294,38 @@
     bench.wait(Duration::from_secs(7));
     assert!(bench.core.is_idle(bench.now));
 }
+
+/// Guards against an order that is found at the next poll only, because its hint was written to a
+/// connection that had gone silent.
+#[test]
+fn hints_again_when_the_connection_of_a_hint_was_silent() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(2));
+    assert_eq!(bench.hints(), 0);
+    bench.execute(Command::OrderTarget {
+        target: target(0, ([127, 0, 0, 1], 9).into(), AGENT).name,
+        order: OrderKind::Drain,
+    });
+    while bench.hints() == 0 {
+        bench.wait(TICK);
+    }
+    bench.link = None;
+    bench.wait(Duration::from_secs(4));
+    assert_eq!(bench.hints(), 2);
+}
+
+/// Guards against agents that rely on an entry which does not hear of orders.
+#[test]
+fn states_no_head_in_probes_while_it_may_have_missed_changes() {
+    let mut bench = Bench::new();
+    bench.configure();
+    bench.wait(Duration::from_secs(3));
+    assert!(bench.head > 0);
+    bench.is_table_up = false;
+    bench.wait(Duration::from_secs(3));
+    assert_eq!(bench.head, 0);
+    bench.is_table_up = true;
+    bench.wait(Duration::from_secs(3));
+    assert!(bench.head > 0);
+}
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -50,10 +50,14 @@
     /// Requests at the target at once; further ones wait in the agent.
     #[serde(default = "default_concurrency")]
     pub concurrency: u32,
-    /// Between two reads of the order in the table.
+    /// Between two reads of the order in the table while no entries announce orders.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_order_poll_ms")]
     pub order_poll_ms: Duration,
+    /// The same while at least two entries announce orders.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_order_backup_poll_ms")]
+    pub order_backup_poll_ms: Duration,
     /// Wait after the start until orders of an earlier run cannot be in flight any more.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_order_settle_ms")]
@@ -101,6 +105,10 @@
     Duration::from_secs(2)
 }
 
+fn default_order_backup_poll_ms() -> Duration {
+    Duration::from_secs(15)
+}
+
 /// Longer than the timeout of an order at the engine.
 fn default_order_settle_ms() -> Duration {
     Duration::from_secs(10)
@@ -153,6 +161,11 @@
                 "order_poll_ms",
                 "use 100 to 4000",
             ),
+            (
+                (100..=60_000).contains(&self.order_backup_poll_ms.as_millis()),
+                "order_backup_poll_ms",
+                "use 100 to 60000",
+            ),
             (
                 self.order_settle_ms <= Duration::from_mins(2),
                 "order_settle_ms",
@@ -182,6 +195,10 @@
             ("advertise", self.advertise != new.advertise),
             ("platform", self.platform != new.platform),
             ("order_poll_ms", self.order_poll_ms != new.order_poll_ms),
+            (
+                "order_backup_poll_ms",
+                self.order_backup_poll_ms != new.order_backup_poll_ms,
+            ),
             (
                 "order_settle_ms",
                 self.order_settle_ms != new.order_settle_ms,
