--- a/components/agent/src/daemon/server.rs
+++ b/components/agent/src/daemon/server.rs
@@ -56,8 +56,18 @@
                 smol::Timer::after(ACCEPT_PAUSE_MS).await;
                 continue;
             };
-            match Datagram::decode(&buffer[..count], &receiving.keys) {
-                Ok(Datagram::Probe { sequence, .. }) => {
+            let decoded = Datagram::decode(&buffer[..count], &receiving.keys.borrow());
+            match decoded {
+                Ok(Datagram::Probe {
+                    entry,
+                    sequence,
+                    head,
+                }) => {
+                    receiving.tell(Event::Watched {
+                        entry,
+                        sequence,
+                        head,
+                    });
                     receiving.tell(Event::Probe { from, sequence });
                 }
                 Ok(_) => {}
--- a/components/agent/src/machine.rs
+++ b/components/agent/src/machine.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use types::CacheEvent;
+use types::Incarnation;
 use wire::Datagram;
 use wire::Hello;
 use wire::ToAgent;
@@ -12,6 +13,7 @@
 
 use crate::admission::refuse_connection;
 use crate::attempts::Attempts;
+use crate::cover::Cover;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::Event;
@@ -37,6 +39,7 @@
     orders: Orders,
     /// Open connections that have said `Hello`, with the time of their last frame.
     connections: BTreeMap<ConnectionId, Instant>,
+    cover: Cover,
     leaving_since: Option<Instant>,
     idle_since: Option<Instant>,
     ticked: Option<Instant>,
@@ -53,6 +56,7 @@
             orders: Orders::new(limits.clone()),
             limits,
             connections: BTreeMap::new(),
+            cover: Cover::default(),
             leaving_since: None,
             idle_since: None,
             ticked: None,
@@ -66,6 +70,12 @@
         self.attempts.in_service()
     }
 
+    /// This run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.limits.incarnation
+    }
+
     /// Counts and flags of the next load report.
     #[must_use]
     pub fn load(&self) -> &LoadBook {
@@ -84,6 +94,7 @@
                 message,
             } => self.message(now, connection, message, &mut out),
             Event::Disconnected { connection } => {
+                self.cover.disconnected(connection);
                 if self.connections.remove(&connection).is_some() {
                     self.attempts.disconnected(now, connection, &mut out);
                 }
@@ -121,6 +132,14 @@
                 self.orders.row_event(now, event, &mut out);
                 self.advance(now, &mut out);
             }
+            Event::Watched {
+                entry,
+                sequence,
+                head,
+            } => self.cover.probed(now, entry, sequence, head),
+            Event::Concurrency(concurrency) => {
+                self.attempts.set_concurrency(now, concurrency, &mut out);
+            }
             Event::Leaving => self.leave(now, &mut out),
             Event::Tick => self.tick(now, &mut out),
         }
@@ -173,7 +192,7 @@
                 .attempts
                 .forbid(now, connection, attempt, incarnation, out),
             ToAgent::OrderHint { number } => {
-                if number > self.attempts.load.applied {
+                if number > self.orders.read_number() {
                     self.orders.row.hint();
                     self.advance(now, out);
                 }
@@ -200,6 +219,7 @@
             return;
         }
         self.connections.insert(connection, now);
+        self.cover.connected(connection, hello.process);
         out.push(Action::Send {
             connection,
             message: ToEntry::Welcome {
@@ -256,6 +276,7 @@
             .collect();
         for connection in silent {
             self.connections.remove(&connection);
+            self.cover.disconnected(connection);
             self.attempts.disconnected(now, connection, out);
             out.push(Action::Close { connection });
         }
@@ -265,6 +286,11 @@
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
         let in_service = self.attempts.in_service();
         let before = flags(&self.attempts.load);
+        self.orders.row.poll_ms = if self.cover.is_covered(now) {
+            self.limits.order_backup_poll_ms
+        } else {
+            self.limits.order_poll_ms
+        };
         self.orders.advance(now, in_service, out);
         self.orders.describe(now, &mut self.attempts.load);
         // A stage that was entered just now is carried on at once.
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -19,6 +19,7 @@
 use crate::sections::Log;
 use crate::sections::PlatformAddresses;
 use crate::sections::first_fault;
+use crate::sections::rotate_keys;
 use crate::sections::validate_keys;
 
 /// Settings of an agent.
@@ -49,10 +50,14 @@
     /// Requests at the target at once; further ones wait in the agent.
     #[serde(default = "default_concurrency")]
     pub concurrency: u32,
-    /// Between two reads of the order in the table.
+    /// Between two reads of the order in the table while no entries announce orders.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_order_poll_ms")]
     pub order_poll_ms: Duration,
+    /// The same while at least two entries announce orders.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_order_backup_poll_ms")]
+    pub order_backup_poll_ms: Duration,
     /// Wait after the start until orders of an earlier run cannot be in flight any more.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_order_settle_ms")]
@@ -100,6 +105,10 @@
     Duration::from_secs(2)
 }
 
+fn default_order_backup_poll_ms() -> Duration {
+    Duration::from_secs(15)
+}
+
 /// Longer than the timeout of an order at the engine.
 fn default_order_settle_ms() -> Duration {
     Duration::from_secs(10)
@@ -152,6 +161,11 @@
                 "order_poll_ms",
                 "use 100 to 4000",
             ),
+            (
+                (100..=60_000).contains(&self.order_backup_poll_ms.as_millis()),
+                "order_backup_poll_ms",
+                "use 100 to 60000",
+            ),
             (
                 self.order_settle_ms <= Duration::from_mins(2),
                 "order_settle_ms",
@@ -178,8 +192,13 @@
             ("region", self.region != new.region),
             ("place", self.place != new.place),
             ("listen", self.listen != new.listen),
+            ("advertise", self.advertise != new.advertise),
             ("platform", self.platform != new.platform),
             ("order_poll_ms", self.order_poll_ms != new.order_poll_ms),
+            (
+                "order_backup_poll_ms",
+                self.order_backup_poll_ms != new.order_backup_poll_ms,
+            ),
             (
                 "order_settle_ms",
                 self.order_settle_ms != new.order_settle_ms,
@@ -191,7 +210,7 @@
                 field: (*field).to_owned(),
                 fix: "restart the agent to change this field".to_owned(),
             }),
-            None => Ok(new.clone()),
+            None => rotate_keys(&self.keys, &new.keys).map(|()| new.clone()),
         }
     }
 }
