--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use types::AttemptId;
+use types::Headers;
 use types::Loaded;
 use types::RunState;
 use types::Usage;
@@ -73,6 +74,17 @@
     }
 }
 
+/// Head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+    /// Other fields that the caller gets.
+    pub headers: Headers,
+}
+
 /// One attempt.
 pub struct Attempt {
     /// Id.
@@ -97,8 +109,8 @@
     pub phase: Phase,
     /// Run at the target, once started.
     pub run: RunId,
-    /// Status and media type.
-    pub head: Option<(u16, String)>,
+    /// Head of the answer.
+    pub head: Option<Head>,
     /// Bytes of the answer.
     pub answer: Answer,
     /// The answer is kept from its first byte.
@@ -220,7 +232,7 @@
                 });
                 continue;
             }
-            let Some((status, content_type)) = &self.head else {
+            let Some(head) = &self.head else {
                 continue;
             };
             if !reader.head_sent {
@@ -229,8 +241,9 @@
                     connection: reader.connection,
                     message: ToEntry::Head {
                         attempt: self.id,
-                        status: *status,
-                        content_type: content_type.clone(),
+                        status: head.status,
+                        content_type: head.content_type.clone(),
+                        headers: head.headers.clone(),
                     },
                 });
             }
--- a/components/agent/src/daemon/runs.rs
+++ b/components/agent/src/daemon/runs.rs
@@ -13,6 +13,7 @@
 use smol::Task;
 use types::AttemptId;
 use types::Method;
+use types::ServiceKind;
 use types::Work;
 
 use crate::daemon::Daemon;
@@ -125,11 +126,22 @@
         .headers
         .get("content-type")
         .map_or_else(String::new, |value| value.as_str().to_owned());
+    let kind = if daemon.is_model {
+        ServiceKind::Model
+    } else {
+        ServiceKind::Plain
+    };
+    let headers = http::answer_headers(&response.headers, kind).map_err(|error| {
+        ClientError::Interrupted {
+            detail: format!("head of the answer refused: {error}"),
+        }
+    })?;
     daemon.tell(Event::Target {
         run,
         event: TargetEvent::Head {
             status: response.status.into(),
             content_type,
+            headers,
         },
     });
     loop {
@@ -154,6 +166,9 @@
     work: Work,
 ) -> Result<Request, ClientError> {
     let mut request = daemon.client.request(method(work.method), &work.path)?;
+    for field in work.headers.iter() {
+        request.append_header(field.name.as_str(), field.value.as_str());
+    }
     if !work.content_type.is_empty() {
         request.insert_header("content-type", work.content_type.as_str());
     }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use types::AttemptId;
 use types::CacheEvent;
+use types::Headers;
 use types::Loaded;
 use types::Order;
 use types::Role;
@@ -73,12 +74,14 @@
 /// Progress of one run at the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetEvent {
-    /// Status and media type of the answer.
+    /// Head of the answer.
     Head {
         /// HTTP status.
         status: u16,
         /// Media type.
         content_type: String,
+        /// Other fields that the caller gets.
+        headers: Headers,
     },
     /// Next bytes of the answer; follows an `Action::Read`.
     Bytes(Vec<u8>),
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -9,6 +9,7 @@
 use wire::Rejection;
 use wire::ToEntry;
 
+use crate::attempt::Head;
 use crate::attempt::Phase;
 use crate::attempts::Attempts;
 use crate::event::Action;
@@ -35,7 +36,15 @@
             TargetEvent::Head {
                 status,
                 content_type,
-            } => self.head(now, id, status, content_type, out),
+                headers,
+            } => {
+                let head = Head {
+                    status,
+                    content_type,
+                    headers,
+                };
+                self.head(now, id, head, out);
+            }
             TargetEvent::Bytes(bytes) => {
                 if let Some(attempt) = self.live.get_mut(&id) {
                     attempt.reading = false;
@@ -55,20 +64,13 @@
         }
     }
 
-    fn head(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        status: u16,
-        content_type: String,
-        out: &mut Vec<Action>,
-    ) {
+    fn head(&mut self, now: Instant, id: AttemptId, head: Head, out: &mut Vec<Action>) {
         let Some(attempt) = self.live.get_mut(&id) else {
             return;
         };
         // An engine refuses with these before it runs anything. A plain service's own statuses
         // prove nothing, and a non-idempotent answer is passed on as it is.
-        let refusal = match status {
+        let refusal = match head.status {
             429 => Some(Rejection::Overloaded),
             503 => Some(Rejection::Away),
             _ => None,
@@ -84,7 +86,7 @@
             self.start_next(now, out);
             return;
         }
-        attempt.head = Some((status, content_type));
+        attempt.head = Some(head);
         self.relay(now, id, out);
     }
 
--- a/components/agent/tests/attempts/world.rs
+++ b/components/agent/tests/attempts/world.rs
@@ -250,6 +250,7 @@
                 method: Method::Post,
                 path: "/submit".to_owned(),
                 content_type: String::new(),
+                headers: types::Headers::default(),
                 body: BODY[..part].to_vec(),
                 stream: false,
                 model: String::new(),
@@ -304,6 +305,7 @@
             TargetEvent::Head {
                 status: 200,
                 content_type: "text/plain".to_owned(),
+                headers: types::Headers::default(),
             }
         } else if !state.asked {
             return;
--- a/components/agent/tests/daemon/entry.rs
+++ b/components/agent/tests/daemon/entry.rs
@@ -141,6 +141,7 @@
             method: Method::Post,
             path: "/v1/completions".to_owned(),
             content_type: "application/json".to_owned(),
+            headers: types::Headers::default(),
             body: body.as_bytes().to_vec(),
             stream,
             model: String::new(),
--- a/components/agent/tests/orders/world.rs
+++ b/components/agent/tests/orders/world.rs
@@ -253,6 +253,7 @@
             method: Method::Post,
             path: "/v1/completions".to_owned(),
             content_type: String::new(),
+            headers: types::Headers::default(),
             body: Vec::new(),
             stream: false,
             model: String::new(),
@@ -284,6 +285,7 @@
         let head = TargetEvent::Head {
             status: 200,
             content_type: String::new(),
+            headers: types::Headers::default(),
         };
         for event in [head, TargetEvent::End] {
             self.event(Event::Target { run, event });
--- a/components/callers/src/admission.rs
+++ b/components/callers/src/admission.rs
@@ -112,6 +112,7 @@
     head: &Request,
     body: Vec<u8>,
     caller: CallerName,
+    credential: Option<&str>,
     limits: &CallerLimits,
 ) -> Result<Submission, Problem> {
     let Route::Service { service, path } = Route::of(head)? else {
@@ -133,6 +134,8 @@
             prefixes: Vec::new(),
         },
     };
+    let headers = http::request_headers(head.as_ref(), limits.kind, credential)
+        .map_err(|error| refused(431, "head-too-large", &error.to_string()))?;
     let work = Work {
         service: service.to_owned(),
         method: method(head)?,
@@ -141,6 +144,7 @@
             None => path.to_owned(),
         },
         content_type: field(head, "content-type").unwrap_or_default().to_owned(),
+        headers,
         body,
         stream: prompt.stream,
         model: prompt.model,
--- a/components/callers/src/answer.rs
+++ b/components/callers/src/answer.rs
@@ -38,16 +38,21 @@
     replies: &Receiver<Reply>,
     exchange: &mut Exchange,
 ) -> Result<u16, HungUp> {
-    let (status, content_type, served_by) = match exchange.or_hang_up(replies.recv()).await? {
-        Ok(Reply::Head {
-            status,
-            content_type,
-            served_by,
-        }) => (status, content_type, served_by),
-        Ok(Reply::Refused(refusal)) => return refuse(exchange, request, &refusal).await,
-        Ok(Reply::Body(_) | Reply::End) | Err(_) => return Ok(500),
-    };
+    let (status, content_type, headers, served_by) =
+        match exchange.or_hang_up(replies.recv()).await? {
+            Ok(Reply::Head {
+                status,
+                content_type,
+                headers,
+                served_by,
+            }) => (status, content_type, headers, served_by),
+            Ok(Reply::Refused(refusal)) => return refuse(exchange, request, &refusal).await,
+            Ok(Reply::Body(_) | Reply::End) | Err(_) => return Ok(500),
+        };
     let mut head = Response::new(status_code(status));
+    for field in headers.iter() {
+        head.append_header(field.name.as_str(), field.value.as_str());
+    }
     insert(&mut head, "content-type", &content_type);
     insert(&mut head, "x-served-by", &served_by);
     insert_request_id(&mut head, request);
--- a/components/callers/src/identity.rs
+++ b/components/callers/src/identity.rs
@@ -31,3 +31,12 @@
         },
     }
 }
+
+/// Field that tells callers apart; it is for this port alone and no target gets it.
+pub(crate) fn credential_field(identity: &CallerIdentity) -> Option<&str> {
+    match identity {
+        CallerIdentity::Address => None,
+        CallerIdentity::Header(field) => Some(field),
+        CallerIdentity::Authorization => Some("authorization"),
+    }
+}
--- a/components/callers/src/port.rs
+++ b/components/callers/src/port.rs
@@ -113,7 +113,9 @@
                 Ok(limits) => {
                     let peer = request.peer;
                     let caller = identity::name(&self.identity, &request.head, peer);
-                    match admission::submission(&request.head, request.body, caller, &limits) {
+                    let credential = identity::credential_field(&self.identity);
+                    let (head, body) = (&request.head, request.body);
+                    match admission::submission(head, body, caller, credential, &limits) {
                         Ok(submission) => self.submit(submission, exchange).await,
                         Err(problem) => send(exchange, &problem).await,
                     }
--- a/components/callers/tests/common/mod.rs
+++ b/components/callers/tests/common/mod.rs
@@ -159,6 +159,7 @@
     Reply::Head {
         status: 200,
         content_type: content_type.to_owned(),
+        headers: types::Headers::default(),
         served_by: "bitacora-03".to_owned(),
     }
 }
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -19,6 +19,7 @@
         method: Method::Post,
         path: "/v1/completions".to_owned(),
         content_type: "application/json".to_owned(),
+        headers: types::Headers::default(),
         body: b"{}".to_vec(),
         stream: false,
         model: String::new(),
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -171,6 +171,7 @@
         let event = TargetEvent::Head {
             status: 200,
             content_type: "text/plain".to_owned(),
+            headers: types::Headers::default(),
         };
         (
             Duration::from_millis(first_ms),
--- a/components/http/src/response.rs
+++ b/components/http/src/response.rs
@@ -200,8 +200,10 @@
     let mut response = async_h1::client::decode(Cursor::new(head.to_vec()))
         .await
         .map_err(|error| ClientError::interrupted(format!("malformed head: {error}")))?;
-    // The decoder makes up a malformed `Date` where there is none.
-    response.remove_header("date");
+    // The decoder makes up a malformed `Date`, with a line feed, where there is none.
+    if matches!(response.header("date"), Some(date) if date.as_str().ends_with('\n')) {
+        response.remove_header("date");
+    }
     Ok(response)
 }
 
--- a/components/request/src/answer.rs
+++ b/components/request/src/answer.rs
@@ -3,16 +3,34 @@
 //! Bytes that callers have are never sent twice. A later attempt starts again at offset 0; its
 //! bytes are held back until they have reproduced what callers already have.
 
+use types::Header;
+use types::Headers;
 use wire::AnswerDigest;
 use wire::Digest;
 
-/// Status and media type of an answer.
+/// Head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
     /// HTTP status.
     pub status: u16,
     /// Media type.
     pub content_type: String,
+    /// Other fields that callers get.
+    pub headers: Headers,
+}
+
+impl AnswerHead {
+    /// Whether bodies under both heads may be parts of the same representation. Other fields,
+    /// such as `Date`, differ from attempt to attempt.
+    fn describes_same(&self, other: &Self) -> bool {
+        let describes = |header: &&Header| {
+            header.name.starts_with("content-")
+                || matches!(header.name.as_str(), "etag" | "last-modified" | "location")
+        };
+        self.status == other.status
+            && self.content_type == other.content_type
+            && (self.headers.iter().filter(describes)).eq(other.headers.iter().filter(describes))
+    }
 }
 
 /// What became of a part of an answer.
@@ -93,7 +111,7 @@
                 self.head = Some(head);
                 Progress::Fresh(Vec::new())
             }
-            Some(known) if *known == head => Progress::Nothing,
+            Some(known) if known.describes_same(&head) => Progress::Nothing,
             Some(_) => Progress::Mismatch,
         }
     }
--- a/components/request/src/claim.rs
+++ b/components/request/src/claim.rs
@@ -8,6 +8,7 @@
 use serde_with::base64::Base64;
 use serde_with::serde_as;
 use types::AttemptId;
+use types::Headers;
 use types::Incarnation;
 use types::RequestId;
 use types::Submission;
@@ -46,6 +47,9 @@
     pub status: u16,
     /// Media type.
     pub content_type: String,
+    /// Other fields of its head; rows of earlier releases have none.
+    #[serde(default, skip_serializing_if = "Headers::is_empty")]
+    pub headers: Headers,
     /// Target that answered.
     pub served_by: TargetName,
     /// Whole body.
--- a/components/request/src/outcomes.rs
+++ b/components/request/src/outcomes.rs
@@ -166,6 +166,7 @@
     Some(StoredAnswer {
         status: head.status,
         content_type: head.content_type.clone(),
+        headers: head.headers.clone(),
         served_by: run.tried.last().cloned().unwrap_or_default(),
         body: run.answer.kept()?.to_vec(),
     })
@@ -175,6 +176,7 @@
     let mut replies = vec![Reply::Head {
         status: stored.status,
         content_type: stored.content_type.clone(),
+        headers: stored.headers.clone(),
         served_by: stored.served_by.clone(),
     }];
     if !stored.body.is_empty() {
--- a/components/request/src/relay.rs
+++ b/components/request/src/relay.rs
@@ -52,11 +52,13 @@
             ToEntry::Head {
                 status,
                 content_type,
+                headers,
                 ..
             } => {
                 let head = AnswerHead {
                     status,
                     content_type,
+                    headers,
                 };
                 let progress = self.answer(id).map(|answer| answer.take_head(head));
                 self.progressed(cx, id, progress);
@@ -231,6 +233,7 @@
         let reply = Reply::Head {
             status: head.status,
             content_type: head.content_type.clone(),
+            headers: head.headers.clone(),
             served_by: served_by.cloned().unwrap_or_default(),
         };
         cx.actions.push(Action::Reply { request, reply });
--- a/components/request/tests/answers.rs
+++ b/components/request/tests/answers.rs
@@ -67,6 +67,7 @@
             attempt: attempt(number),
             status: 200,
             content_type: "text/plain".to_owned(),
+            headers: types::Headers::default(),
         };
         self.from(target, incarnation, message);
     }
--- a/components/request/tests/support/agents.rs
+++ b/components/request/tests/support/agents.rs
@@ -136,6 +136,7 @@
             attempt,
             status: 200,
             content_type: "text/plain".to_owned(),
+            headers: types::Headers::default(),
         };
         self.answer(entry, target, head);
         let from = usize::try_from(from).expect("small").min(body.len());
--- a/components/request/tests/support/mod.rs
+++ b/components/request/tests/support/mod.rs
@@ -114,6 +114,7 @@
             method: Method::Post,
             path: "/v1/orders".to_owned(),
             content_type: "application/json".to_owned(),
+            headers: types::Headers::default(),
             body: body.to_vec(),
             stream: false,
             model: String::new(),
--- a/components/standin/src/plain.rs
+++ b/components/standin/src/plain.rs
@@ -1,5 +1,6 @@
 //! Stand-in of a plain service over HTTP. Every path is answered with a deterministic receipt,
-//! and every run is counted by the digest of its body.
+//! and every run is counted by the digest of its body. `POST /headers` sets the fields of all
+//! further answers.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use http::Problem;
 use http::Request;
 use http_types::Method;
+use http_types::headers::HeaderValue;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::json;
@@ -59,6 +61,8 @@
     pub runs: BTreeMap<String, u32>,
     /// Runs by `X-Request-Id`.
     pub ids: BTreeMap<String, u32>,
+    /// Fields of the last request that ran, one item for each line.
+    pub last_headers: Vec<(String, String)>,
 }
 
 /// Receipt that answers a request.
@@ -87,6 +91,8 @@
     delay_ms: RefCell<u64>,
     faults: RefCell<PlainFaults>,
     counters: RefCell<PlainCounters>,
+    /// Fields of every answer, one item for each line.
+    headers: RefCell<Vec<(String, String)>>,
 }
 
 /// Serves on this thread until the process ends.
@@ -144,6 +150,14 @@
                 self.take_faults(&faults);
                 answers::send(exchange, 200, &faults).await;
             }
+            (Method::Post, "/headers") => {
+                let Ok(headers) = serde_json::from_slice(&request.body) else {
+                    answers::send(exchange, 400, &json!({"error": "send a list of pairs"})).await;
+                    return;
+                };
+                *self.headers.borrow_mut() = headers;
+                answers::send(exchange, 200, &json!({})).await;
+            }
             _ => self.run(&request, &path, exchange).await,
         }
     }
@@ -171,13 +185,24 @@
             return answers::hang_up(exchange);
         }
         let status = if fails { 500 } else { 200 };
-        answers::send(exchange, status, &receipt(path, &request.body)).await;
+        let mut head = answers::head(status, "application/json");
+        for (name, value) in self.headers.borrow().iter() {
+            head.append_header(name.as_str(), value.as_str());
+        }
+        let body = serde_json::to_vec(&receipt(path, &request.body)).unwrap_or_default();
+        // A peer that hung up does not get it.
+        let _ = exchange.respond(head, &body).await;
     }
 
     fn count(&self, request: &Request) {
         let mut counters = self.counters.borrow_mut();
         let digest = format!("{:016x}", body_digest(&request.body));
         *counters.runs.entry(digest).or_default() += 1;
+        let lines = request.head.iter().flat_map(|(name, values)| {
+            let line = |value: &HeaderValue| (name.to_string(), value.to_string());
+            values.iter().map(line).collect::<Vec<_>>()
+        });
+        counters.last_headers = lines.collect();
         if let Some(id) = answers::header(request, "x-request-id") {
             *counters.ids.entry(id.to_owned()).or_default() += 1;
         }
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod change;
 pub mod clock;
+pub mod headers;
 pub mod ids;
 pub mod load;
 pub mod order;
@@ -19,6 +20,11 @@
 pub use clock::Clock;
 pub use clock::ManualClock;
 pub use clock::SystemClock;
+pub use headers::HEADER_BYTES_LIMIT;
+pub use headers::HEADER_COUNT_LIMIT;
+pub use headers::Header;
+pub use headers::Headers;
+pub use headers::HeadersError;
 pub use ids::AttemptId;
 pub use ids::CallerName;
 pub use ids::FencingNumber;
--- a/components/types/src/reply.rs
+++ b/components/types/src/reply.rs
@@ -7,6 +7,8 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::headers::Headers;
+
 /// What is known about the execution of a request that was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -76,12 +78,14 @@
 /// Part of an answer, in order: one `Head`, any number of `Body`, one `End`; or one `Refused`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
-    /// Status and media type of the answer.
+    /// Head of the answer.
     Head {
         /// HTTP status.
         status: u16,
         /// Media type of the body.
         content_type: String,
+        /// Other fields of the head that the caller gets.
+        headers: Headers,
         /// Target that answers.
         served_by: String,
     },
--- a/components/types/src/work.rs
+++ b/components/types/src/work.rs
@@ -8,6 +8,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::headers::Headers;
 use crate::ids::CallerName;
 use crate::ids::ServiceName;
 
@@ -62,6 +63,8 @@
     pub path: String,
     /// Media type of the body; empty without one.
     pub content_type: String,
+    /// Other fields of the head that the target gets.
+    pub headers: Headers,
     /// Body, passed on unchanged.
     #[serde_as(as = "Bytes")]
     pub body: Vec<u8>,
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -36,5 +36,6 @@
 pub use session::SessionWriter;
 pub use session::establish;
 
-/// Version of the protocol; a process refuses connections of another one.
-pub const PROTOCOL_VERSION: u16 = 1;
+/// Version of the protocol; a process refuses connections and datagrams of another one. Version 2
+/// added headers to dispatches and to the heads of answers.
+pub const PROTOCOL_VERSION: u16 = 2;
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -9,6 +9,7 @@
 use serde_with::serde_as;
 use types::AttemptId;
 use types::CacheEvent;
+use types::Headers;
 use types::Incarnation;
 use types::LoadReport;
 use types::Loaded;
@@ -174,7 +175,7 @@
         /// Load now.
         load: LoadReport,
     },
-    /// Status and media type of the answer.
+    /// Head of the answer.
     Head {
         /// Attempt concerned.
         attempt: AttemptId,
@@ -182,6 +183,8 @@
         status: u16,
         /// Media type.
         content_type: String,
+        /// Other fields that the caller gets.
+        headers: Headers,
     },
     /// Next bytes of the answer.
     Chunk {
--- a/components/wire/tests/decoders.rs
+++ b/components/wire/tests/decoders.rs
@@ -8,6 +8,8 @@
 use serde::de::DeserializeOwned;
 use serde::ser::SerializeTuple;
 use types::AttemptId;
+use types::Header;
+use types::Headers;
 use wire::Datagram;
 use wire::FrameReader;
 use wire::FrameWriter;
@@ -94,6 +96,11 @@
         number: 1,
     };
     let bytes = b"data: text".to_vec();
+    let header = Header {
+        name: "set-cookie".to_owned(),
+        value: "a=1".to_owned(),
+    };
+    let headers = Headers::try_from(vec![header; 2]).expect("few fields");
     let hello = Hello {
         process: 7,
         to: "target".to_owned(),
@@ -126,6 +133,14 @@
                 head: 1 << 40,
             })
         }),
+        encode(&|| {
+            postcard::to_stdvec(&ToEntry::Head {
+                attempt,
+                status: 200,
+                content_type: "text/plain".to_owned(),
+                headers: headers.clone(),
+            })
+        }),
     ]
 }
 
@@ -165,6 +180,7 @@
     assert!(matches!(read::<ToEntry>(all[2].clone()), Ok(Some(_))));
     assert!(matches!(read::<ToPeer>(all[3].clone()), Ok(Some(_))));
     assert!(Datagram::decode(&datagram(&all[4]), &keyring()).is_ok());
+    assert!(matches!(read::<ToEntry>(all[5].clone()), Ok(Some(_))));
 }
 
 /// Guards against bytes before the check of the MAC that panic, or that are held without bound.
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -298,6 +298,7 @@
             method: Method::Post,
             path: "/v1/work".to_owned(),
             content_type: "text/plain".to_owned(),
+            headers: types::Headers::default(),
             body: op.body.clone(),
             stream: is_read,
             model: String::new(),
