--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -34,6 +34,17 @@
     Failed(String),
 }
 
+/// How an answer is read from the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// The head has not arrived on the present connection.
+    Unopened,
+    /// More may be asked for.
+    Idle,
+    /// A `Read` is outstanding.
+    Outstanding,
+}
+
 /// An entry's position in the answer.
 #[derive(Debug, Clone)]
 pub struct Reader {
@@ -115,8 +126,12 @@
     pub answer: Answer,
     /// The answer is kept from its first byte.
     pub keeps_all: bool,
-    /// A `Read` is outstanding.
-    pub reading: bool,
+    /// The rest of the answer was asked for on a new connection.
+    pub is_resumed: bool,
+    /// Times that it was asked for since the last new byte.
+    pub resumes: u32,
+    /// How the answer is read from the target.
+    pub reading: Reading,
     /// Entries that read the answer; more than one only after a resend through another entry.
     pub readers: Vec<Reader>,
     /// Since when no entry reads it.
@@ -146,7 +161,9 @@
             head: None,
             answer: Answer::default(),
             keeps_all: !dispatch.idempotent,
-            reading: false,
+            is_resumed: false,
+            resumes: 0,
+            reading: Reading::Unopened,
             readers: vec![Reader::new(connection, 0, dispatch.credit_bytes)],
             orphaned: None,
             tail: Tail::default(),
--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -15,6 +15,7 @@
 use crate::attempt::Attempt;
 use crate::attempt::Phase;
 use crate::attempt::Reader;
+use crate::attempt::Reading;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::RunId;
@@ -44,7 +45,9 @@
     pub(crate) waiting_bytes: u64,
     pub(crate) memory: Memory,
     pub(crate) recent: Memory,
-    next_run: RunId,
+    pub(crate) next_run: RunId,
+    /// Runs whose answer is to be asked for again, and why, in order of time.
+    pub(crate) resumes: BTreeMap<(Instant, RunId), String>,
     pub(crate) finished: [VecDeque<(Instant, AttemptId)>; 2],
     pub(crate) kept_bytes: usize,
 }
@@ -64,6 +67,7 @@
             receiving: 0,
             waiting_bytes: 0,
             next_run: 1,
+            resumes: BTreeMap::new(),
             finished: [VecDeque::new(), VecDeque::new()],
             kept_bytes: 0,
         }
@@ -252,11 +256,10 @@
         }
         attempt.release();
         if attempt.phase == Phase::Running
-            && attempt.head.is_some()
-            && !attempt.reading
+            && attempt.reading == Reading::Idle
             && attempt.has_room(self.limits.buffer_limit_bytes)
         {
-            attempt.reading = true;
+            attempt.reading = Reading::Outstanding;
             out.push(Action::Read { run: attempt.run });
         }
     }
--- a/components/agent/src/daemon/log.rs
+++ b/components/agent/src/daemon/log.rs
@@ -66,6 +66,15 @@
                 "code" => code, "request" => format!("{:032x}", attempt.request),
                 "attempt" => attempt.number, "sent" => sent, "detail" => detail);
         }
+        Note::RunResumed {
+            attempt,
+            offset,
+            detail,
+        } => {
+            warn!(logger, "connection to the engine lost, asking for the rest of the answer";
+                "code" => code, "request" => format!("{:032x}", attempt.request),
+                "attempt" => attempt.number, "offset" => offset, "detail" => detail);
+        }
         Note::AnswerDropped { attempt } => {
             warn!(logger, "answer too long to be kept for resumption";
                 "code" => code, "request" => format!("{:032x}", attempt.request),
--- a/components/agent/src/daemon/mod.rs
+++ b/components/agent/src/daemon/mod.rs
@@ -138,11 +138,11 @@
     ) -> Self {
         Self {
             is_model: parts.limits.kind == types::ServiceKind::Model,
+            client: Client::new(parts.target, runs::client_limits(parts.limits.kind)),
             agent: RefCell::new(Agent::new(parts.limits)),
             executor,
             connections: Connections::default(),
             runs: Runs::default(),
-            client: Client::new(parts.target, runs::client_limits()),
             keys: parts.keys,
             engine: EngineClient::new(parts.target),
             table: parts.table,
@@ -184,6 +184,12 @@
                 work,
             } => runs::start(self, run, attempt, priority, *work),
             Action::Read { run } => self.runs.read(run),
+            Action::Resume {
+                run,
+                attempt,
+                offset,
+            } => runs::resume(self, run, attempt, offset),
+            Action::Release { run } => self.runs.release(run),
             Action::Abort { run, attempt } => runs::abort(self, run, attempt),
             Action::ReadEngineState => self.ask(|daemon| async move {
                 let state = daemon.engine.state().await;
--- a/components/agent/src/daemon/runs.rs
+++ b/components/agent/src/daemon/runs.rs
@@ -7,14 +7,19 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use http::Client;
 use http::ClientError;
 use http::ClientLimits;
+use http::StreamingResponse;
 use http_types::Request;
+use http_types::StatusCode;
 use smol::Task;
 use types::AttemptId;
+use types::Headers;
 use types::Method;
 use types::ServiceKind;
 use types::Work;
+use wire::Digest;
 
 use crate::daemon::Daemon;
 use crate::event::Event;
@@ -29,16 +34,38 @@
 /// The state machine bounds runs by their deadlines; this only frees what it forgot.
 const ANSWER_LIMIT_MS: Duration = Duration::from_hours(1);
 
-/// Limits of the client for runs.
-pub fn client_limits() -> ClientLimits {
+/// Time without a byte in the middle of an engine's answer after which its connection is taken for
+/// silent. Longer than the pauses of a busy engine; a false alarm costs one more connection.
+const ENGINE_SILENCE_MS: Duration = Duration::from_secs(5);
+/// Time for an engine to begin with the rest of an answer, which it has at hand.
+const RESUME_HEAD_LIMIT_MS: Duration = Duration::from_secs(2);
+/// Field in which an engine states the BLAKE3 digest, in hex, of the bytes before the offset.
+const PREFIX_DIGEST: &str = "x-prefix-digest";
+
+/// Limits of the client for runs. Plain services cannot continue an answer, so they have time.
+pub fn client_limits(kind: ServiceKind) -> ClientLimits {
     ClientLimits {
         idle_connections: IDLE_CONNECTIONS,
         head_ms: ANSWER_LIMIT_MS,
-        stall_ms: ANSWER_LIMIT_MS,
+        stall_ms: match kind {
+            ServiceKind::Model => ENGINE_SILENCE_MS,
+            ServiceKind::Plain => ANSWER_LIMIT_MS,
+        },
         ..ClientLimits::default()
     }
 }
 
+/// Limits of the client for the rest of an answer. Each uses a connection of its own, because idle
+/// ones may have gone silent together with the one that was lost.
+fn resume_limits() -> ClientLimits {
+    ClientLimits {
+        idle_connections: 0,
+        connect_ms: RESUME_HEAD_LIMIT_MS,
+        head_ms: RESUME_HEAD_LIMIT_MS,
+        ..client_limits(ServiceKind::Model)
+    }
+}
+
 /// Runs under way.
 #[derive(Default)]
 pub struct Runs {
@@ -59,6 +86,11 @@
         }
     }
 
+    /// Stops reading a run.
+    pub fn release(&self, run: RunId) {
+        self.open.borrow_mut().remove(&run);
+    }
+
     /// Records gauges.
     #[expect(
         clippy::unused_self,
@@ -75,10 +107,29 @@
 
 /// Starts a run.
 pub fn start(daemon: &Rc<Daemon>, run: RunId, attempt: AttemptId, priority: u8, work: Work) {
+    let running = daemon.clone();
+    spawn(daemon, run, move |permits| async move {
+        exchange(&running, run, attempt, priority, work, permits).await
+    });
+}
+
+/// Asks the engine for the rest of an answer.
+pub fn resume(daemon: &Rc<Daemon>, run: RunId, attempt: AttemptId, offset: u64) {
+    let running = daemon.clone();
+    spawn(daemon, run, move |permits| async move {
+        exchange_rest(&running, run, attempt, offset, permits).await
+    });
+}
+
+fn spawn<F>(daemon: &Rc<Daemon>, run: RunId, exchange: impl FnOnce(Receiver<()>) -> F)
+where
+    F: Future<Output = Result<(), ClientError>> + 'static,
+{
     let (reads, permits) = async_channel::bounded(1);
     let running = daemon.clone();
+    let exchange = exchange(permits);
     let task = daemon.executor.spawn(async move {
-        let last = match exchange(&running, run, attempt, priority, work, permits).await {
+        let last = match exchange.await {
             Ok(()) => TargetEvent::End,
             Err(error) => TargetEvent::Failed {
                 sent: error.was_sent(),
@@ -121,7 +172,59 @@
     permits: Receiver<()>,
 ) -> Result<(), ClientError> {
     let request = build(daemon, attempt, priority, work)?;
-    let mut response = daemon.client.send(request).await?;
+    let response = daemon.client.send(request).await?;
+    let (content_type, headers) = head(daemon, &response)?;
+    daemon.tell(Event::Target {
+        run,
+        event: TargetEvent::Head {
+            status: response.status.into(),
+            content_type,
+            headers,
+        },
+    });
+    deliver(daemon, run, response, permits).await
+}
+
+async fn exchange_rest(
+    daemon: &Rc<Daemon>,
+    run: RunId,
+    attempt: AttemptId,
+    offset: u64,
+    permits: Receiver<()>,
+) -> Result<(), ClientError> {
+    let client = Client::new(daemon.client.addr(), resume_limits());
+    let path = format!("/requests/{}?offset={offset}", request_name(attempt));
+    let request = client.request(http_types::Method::Get, &path)?;
+    let response = client.send(request).await?;
+    match response.status {
+        StatusCode::Ok => {}
+        StatusCode::NotFound | StatusCode::Gone | StatusCode::RequestedRangeNotSatisfiable => {
+            let detail = format!("the engine cannot continue the answer: {}", response.status);
+            let event = TargetEvent::Forgotten { detail };
+            daemon.tell(Event::Target { run, event });
+            return Ok(());
+        }
+        status => {
+            let detail = format!("the engine did not continue the answer: {status}");
+            return Err(ClientError::Interrupted { detail });
+        }
+    }
+    let (content_type, headers) = head(daemon, &response)?;
+    let prefix = response.headers.get(PREFIX_DIGEST);
+    daemon.tell(Event::Target {
+        run,
+        event: TargetEvent::Resumed {
+            status: response.status.into(),
+            content_type,
+            headers,
+            prefix: prefix.and_then(|digest| parse_digest(digest.as_str())),
+        },
+    });
+    deliver(daemon, run, response, permits).await
+}
+
+/// Media type and other fields of an answer.
+fn head(daemon: &Daemon, response: &StreamingResponse) -> Result<(String, Headers), ClientError> {
     let content_type = response
         .headers
         .get("content-type")
@@ -136,14 +239,16 @@
             detail: format!("head of the answer refused: {error}"),
         }
     })?;
-    daemon.tell(Event::Target {
-        run,
-        event: TargetEvent::Head {
-            status: response.status.into(),
-            content_type,
-            headers,
-        },
-    });
+    Ok((content_type, headers))
+}
+
+/// Delivers the body as it is asked for.
+async fn deliver(
+    daemon: &Rc<Daemon>,
+    run: RunId,
+    mut response: StreamingResponse,
+    permits: Receiver<()>,
+) -> Result<(), ClientError> {
     loop {
         if permits.recv().await.is_err() {
             // The run was given up; nobody listens to it any more.
@@ -159,6 +264,17 @@
     }
 }
 
+fn parse_digest(hex: &str) -> Option<Digest> {
+    let mut digest = Digest::default();
+    if hex.len() != 2 * digest.len() || !hex.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    for (index, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&hex[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(digest)
+}
+
 fn build(
     daemon: &Daemon,
     attempt: AttemptId,
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -16,6 +16,7 @@
 use types::Role;
 use types::Work;
 use wire::Datagram;
+use wire::Digest;
 use wire::ToAgent;
 use wire::ToEntry;
 
@@ -83,6 +84,22 @@
         /// Other fields that the caller gets.
         headers: Headers,
     },
+    /// The engine continues the answer from the offset of an `Action::Resume`.
+    Resumed {
+        /// HTTP status.
+        status: u16,
+        /// Media type.
+        content_type: String,
+        /// Other fields that the caller gets.
+        headers: Headers,
+        /// Digest of the bytes before the offset, if the engine states a valid one.
+        prefix: Option<Digest>,
+    },
+    /// The engine does not know the run that it was asked to continue.
+    Forgotten {
+        /// For the log.
+        detail: String,
+    },
     /// Next bytes of the answer; follows an `Action::Read`.
     Bytes(Vec<u8>),
     /// The answer is whole; follows an `Action::Read`.
@@ -186,6 +203,20 @@
         /// The run.
         run: RunId,
     },
+    /// Ask the engine for the rest of an answer whose run was begun. Nothing is started by it.
+    Resume {
+        /// The run, under a new number.
+        run: RunId,
+        /// Attempt that it serves.
+        attempt: AttemptId,
+        /// Bytes held here.
+        offset: u64,
+    },
+    /// Stop reading a run and let the engine go on.
+    Release {
+        /// The run.
+        run: RunId,
+    },
     /// Give up a run and tell the engine so.
     Abort {
         /// The run.
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod orders;
 mod registration;
 mod report;
+mod resume;
 mod row;
 mod runs;
 mod usage;
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -90,6 +90,15 @@
         /// Why.
         detail: String,
     },
+    /// CS2305: the connection of a run was lost; the engine is asked for the rest of the answer.
+    RunResumed {
+        /// Attempt concerned.
+        attempt: AttemptId,
+        /// Bytes held.
+        offset: u64,
+        /// What became of the connection.
+        detail: String,
+    },
     /// CS2302: an answer is too long to be kept, or the space for kept answers is full.
     AnswerDropped {
         /// Attempt concerned.
@@ -121,6 +130,7 @@
             Self::StateDiffers { .. } => "CS2106",
             Self::EngineAway { .. } => "CS2201",
             Self::RunFailed { .. } => "CS2301",
+            Self::RunResumed { .. } => "CS2305",
             Self::AnswerDropped { .. } => "CS2302",
             Self::ConnectionRefused { .. } => "CS2303",
         }
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -11,6 +11,7 @@
 
 use crate::attempt::Head;
 use crate::attempt::Phase;
+use crate::attempt::Reading;
 use crate::attempts::Attempts;
 use crate::event::Action;
 use crate::event::ConnectionId;
@@ -47,12 +48,27 @@
             }
             TargetEvent::Bytes(bytes) => {
                 if let Some(attempt) = self.live.get_mut(&id) {
-                    attempt.reading = false;
+                    attempt.reading = Reading::Idle;
+                    attempt.resumes = 0;
                     attempt.answer.push(&bytes);
                     attempt.tail.push(&bytes);
                 }
                 self.relay(now, id, out);
             }
+            TargetEvent::Resumed {
+                status,
+                content_type,
+                headers,
+                prefix,
+            } => {
+                let head = Head {
+                    status,
+                    content_type,
+                    headers,
+                };
+                self.resumed(now, id, head, prefix, out);
+            }
+            TargetEvent::Forgotten { detail } => self.fail(now, id, true, detail, out),
             TargetEvent::End => {
                 let usage = self.live.get(&id).map(|attempt| attempt.tail.usage());
                 self.finish(now, id, Phase::Done(usage.unwrap_or_default()));
@@ -86,6 +102,7 @@
             self.start_next(now, out);
             return;
         }
+        attempt.reading = Reading::Idle;
         attempt.head = Some(head);
         self.relay(now, id, out);
     }
@@ -97,6 +114,24 @@
         sent: bool,
         detail: String,
         out: &mut Vec<Action>,
+    ) {
+        // The engine may have begun a run that was asked for again, whatever became of that.
+        let sent = sent || self.live.get(&id).is_some_and(|attempt| attempt.is_resumed);
+        if sent && self.plan_resume(now, id, &detail) {
+            self.start_resumes(now, out);
+        } else {
+            self.fail(now, id, sent, detail, out);
+        }
+    }
+
+    /// Ends a run without a whole answer.
+    pub(crate) fn fail(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        sent: bool,
+        detail: String,
+        out: &mut Vec<Action>,
     ) {
         out.push(Action::Log(Note::RunFailed {
             attempt: id,
@@ -144,6 +179,7 @@
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.expire_waiting(now, out);
         self.expire_running(now, out);
+        self.start_resumes(now, out);
         self.trim_kept(now);
         self.start_next(now, out);
     }
--- a/components/agent/tests/daemon/main.rs
+++ b/components/agent/tests/daemon/main.rs
@@ -1,5 +1,6 @@
 //! The daemon on loopback, between an entry's connection and the stand-in engine.
 
+mod engine;
 mod entry;
 
 use std::net::SocketAddr;
--- a/components/standin/src/engine/counters.rs
+++ b/components/standin/src/engine/counters.rs
@@ -54,6 +54,8 @@
     pub cancelled: u32,
     /// Requests that asked for a model that is not loaded.
     pub wrong_model: u32,
+    /// Answers resumed from an offset.
+    pub resumed: u32,
     /// Crashes.
     pub crashes: u32,
 }
--- a/components/standin/src/engine/server.rs
+++ b/components/standin/src/engine/server.rs
@@ -21,6 +21,7 @@
 use crate::engine::completions;
 use crate::engine::options::EngineFaults;
 use crate::engine::options::EngineOptions;
+use crate::engine::resume;
 use crate::engine::state::EngineCore;
 use crate::engine::state::OrderAnswer;
 use crate::engine::state::OrderBody;
@@ -102,6 +103,10 @@
                 let count = self.core.borrow_mut().cancel(&path["/requests/".len()..]);
                 answers::send(exchange, 200, &json!({"cancelled": count})).await;
             }
+            (Method::Get, path) if path.starts_with("/requests/") => {
+                let id = &path["/requests/".len()..];
+                resume::resume(&self.core, id, number(&request, "offset"), exchange).await;
+            }
             (Method::Post, "/orders") => self.order(&request, exchange).await,
             (Method::Get, "/state") => {
                 let state = self.core.borrow().state.clone();
@@ -115,7 +120,8 @@
                 let events = {
                     let core = self.core.borrow();
                     let lag = Duration::from_millis(core.options.cache_lag_ms);
-                    core.cache.events(Instant::now(), after(&request), lag)
+                    core.cache
+                        .events(Instant::now(), number(&request, "after"), lag)
                 };
                 answers::send(exchange, 200, &json!({"events": events})).await;
             }
@@ -221,12 +227,13 @@
     }
 }
 
-fn after(request: &Request) -> u64 {
+/// Number in the query; 0 without one.
+fn number(request: &Request, key: &str) -> u64 {
     request
         .head
         .url()
         .query_pairs()
-        .find(|(name, _)| name == "after")
+        .find(|(name, _)| name == key)
         .and_then(|(_, value)| value.parse().ok())
         .unwrap_or(0)
 }
--- a/components/standin/src/engine/state.rs
+++ b/components/standin/src/engine/state.rs
@@ -18,6 +18,7 @@
 use crate::engine::counters::Tally;
 use crate::engine::options::EngineFaults;
 use crate::engine::options::EngineOptions;
+use crate::engine::resume::Resumable;
 
 /// Samples of the load that are kept.
 const SAMPLE_LIMIT: usize = 256;
@@ -87,6 +88,8 @@
     pub running: HashMap<u64, (String, bool)>,
     pub prefill_backlog_tokens: u64,
     pub decode_backlog_tokens: u64,
+    /// Requests whose answer can be resumed.
+    pub resumable: Resumable,
     samples: VecDeque<(Instant, LoadAnswer)>,
     next_run: u64,
 }
@@ -106,6 +109,7 @@
             running: HashMap::new(),
             prefill_backlog_tokens: 0,
             decode_backlog_tokens: 0,
+            resumable: Resumable::default(),
             samples: VecDeque::new(),
             next_run: 0,
         }
@@ -221,6 +225,7 @@
         self.tally.counters.crashes += 1;
         self.state = initial(&self.options);
         self.cache.clear(now);
+        self.resumable = Resumable::default();
     }
 
     /// Load as of some time ago.
--- a/examples/soak/agents.rs
+++ b/examples/soak/agents.rs
@@ -199,7 +199,16 @@
                     self.later(delay, node, run, Input::Agent(event));
                 }
             }
-            Action::Abort { run: number, .. } => self.agents[at].target.abort(run, number),
+            // The engine that lost the connection has forgotten the run.
+            Action::Resume { run: number, .. } => {
+                let detail = "forgotten".to_owned();
+                let event = agent::TargetEvent::Forgotten { detail };
+                let input = Input::Agent(Event::Target { run: number, event });
+                self.later(Duration::from_millis(2), node, run, input);
+            }
+            Action::Abort { run: number, .. } | Action::Release { run: number } => {
+                self.agents[at].target.abort(run, number);
+            }
             Action::ReadEngineState => {
                 self.after(Duration::from_millis(1), Happening::EngineState(at, run));
             }
