--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use types::AttemptId;
+use types::Headers;
 use types::Loaded;
 use types::RunState;
 use types::Usage;
@@ -33,6 +34,17 @@
     Failed(String),
 }
 
+/// How an answer is read from the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// The head has not arrived on the present connection.
+    Unopened,
+    /// More may be asked for.
+    Idle,
+    /// A `Read` is outstanding.
+    Outstanding,
+}
+
 /// An entry's position in the answer.
 #[derive(Debug, Clone)]
 pub struct Reader {
@@ -73,6 +85,17 @@
     }
 }
 
+/// Head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+    /// Other fields that the caller gets.
+    pub headers: Headers,
+}
+
 /// One attempt.
 pub struct Attempt {
     /// Id.
@@ -97,14 +120,18 @@
     pub phase: Phase,
     /// Run at the target, once started.
     pub run: RunId,
-    /// Status and media type.
-    pub head: Option<(u16, String)>,
+    /// Head of the answer.
+    pub head: Option<Head>,
     /// Bytes of the answer.
     pub answer: Answer,
     /// The answer is kept from its first byte.
     pub keeps_all: bool,
-    /// A `Read` is outstanding.
-    pub reading: bool,
+    /// The rest of the answer was asked for on a new connection.
+    pub is_resumed: bool,
+    /// Times that it was asked for since the last new byte.
+    pub resumes: u32,
+    /// How the answer is read from the target.
+    pub reading: Reading,
     /// Entries that read the answer; more than one only after a resend through another entry.
     pub readers: Vec<Reader>,
     /// Since when no entry reads it.
@@ -134,7 +161,9 @@
             head: None,
             answer: Answer::default(),
             keeps_all: !dispatch.idempotent,
-            reading: false,
+            is_resumed: false,
+            resumes: 0,
+            reading: Reading::Unopened,
             readers: vec![Reader::new(connection, 0, dispatch.credit_bytes)],
             orphaned: None,
             tail: Tail::default(),
@@ -220,7 +249,7 @@
                 });
                 continue;
             }
-            let Some((status, content_type)) = &self.head else {
+            let Some(head) = &self.head else {
                 continue;
             };
             if !reader.head_sent {
@@ -229,8 +258,9 @@
                     connection: reader.connection,
                     message: ToEntry::Head {
                         attempt: self.id,
-                        status: *status,
-                        content_type: content_type.clone(),
+                        status: head.status,
+                        content_type: head.content_type.clone(),
+                        headers: head.headers.clone(),
                     },
                 });
             }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use types::AttemptId;
 use types::CacheEvent;
+use types::Headers;
 use types::Incarnation;
 use types::Loaded;
 use types::Order;
@@ -17,6 +18,7 @@
 use types::Role;
 use types::Work;
 use wire::Datagram;
+use wire::Digest;
 use wire::ToAgent;
 use wire::ToEntry;
 
@@ -75,12 +77,30 @@
 /// Progress of one run at the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetEvent {
-    /// Status and media type of the answer.
+    /// Head of the answer.
     Head {
         /// HTTP status.
         status: u16,
         /// Media type.
         content_type: String,
+        /// Other fields that the caller gets.
+        headers: Headers,
+    },
+    /// The engine continues the answer from the offset of an `Action::Resume`.
+    Resumed {
+        /// HTTP status.
+        status: u16,
+        /// Media type.
+        content_type: String,
+        /// Other fields that the caller gets.
+        headers: Headers,
+        /// Digest of the bytes before the offset, if the engine states a valid one.
+        prefix: Option<Digest>,
+    },
+    /// The engine does not know the run that it was asked to continue.
+    Forgotten {
+        /// For the log.
+        detail: String,
     },
     /// Next bytes of the answer; follows an `Action::Read`.
     Bytes(Vec<u8>),
@@ -196,6 +216,20 @@
         /// The run.
         run: RunId,
     },
+    /// Ask the engine for the rest of an answer whose run was begun. Nothing is started by it.
+    Resume {
+        /// The run, under a new number.
+        run: RunId,
+        /// Attempt that it serves.
+        attempt: AttemptId,
+        /// Bytes held here.
+        offset: u64,
+    },
+    /// Stop reading a run and let the engine go on.
+    Release {
+        /// The run.
+        run: RunId,
+    },
     /// Give up a run and tell the engine so.
     Abort {
         /// The run.
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -9,7 +9,9 @@
 use wire::Rejection;
 use wire::ToEntry;
 
+use crate::attempt::Head;
 use crate::attempt::Phase;
+use crate::attempt::Reading;
 use crate::attempts::Attempts;
 use crate::event::Action;
 use crate::event::ConnectionId;
@@ -35,15 +37,38 @@
             TargetEvent::Head {
                 status,
                 content_type,
-            } => self.head(now, id, status, content_type, out),
+                headers,
+            } => {
+                let head = Head {
+                    status,
+                    content_type,
+                    headers,
+                };
+                self.head(now, id, head, out);
+            }
             TargetEvent::Bytes(bytes) => {
                 if let Some(attempt) = self.live.get_mut(&id) {
-                    attempt.reading = false;
+                    attempt.reading = Reading::Idle;
+                    attempt.resumes = 0;
                     attempt.answer.push(&bytes);
                     attempt.tail.push(&bytes);
                 }
                 self.relay(now, id, out);
             }
+            TargetEvent::Resumed {
+                status,
+                content_type,
+                headers,
+                prefix,
+            } => {
+                let head = Head {
+                    status,
+                    content_type,
+                    headers,
+                };
+                self.resumed(now, id, head, prefix, out);
+            }
+            TargetEvent::Forgotten { detail } => self.fail(now, id, true, detail, out),
             TargetEvent::End => {
                 let usage = self.live.get(&id).map(|attempt| attempt.tail.usage());
                 self.finish(now, id, Phase::Done(usage.unwrap_or_default()));
@@ -55,20 +80,13 @@
         }
     }
 
-    fn head(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        status: u16,
-        content_type: String,
-        out: &mut Vec<Action>,
-    ) {
+    fn head(&mut self, now: Instant, id: AttemptId, head: Head, out: &mut Vec<Action>) {
         let Some(attempt) = self.live.get_mut(&id) else {
             return;
         };
         // An engine refuses with these before it runs anything. A plain service's own statuses
         // prove nothing, and a non-idempotent answer is passed on as it is.
-        let refusal = match status {
+        let refusal = match head.status {
             429 => Some(Rejection::Overloaded),
             503 => Some(Rejection::Away),
             _ => None,
@@ -84,7 +102,8 @@
             self.start_next(now, out);
             return;
         }
-        attempt.head = Some((status, content_type));
+        attempt.reading = Reading::Idle;
+        attempt.head = Some(head);
         self.relay(now, id, out);
     }
 
@@ -95,6 +114,24 @@
         sent: bool,
         detail: String,
         out: &mut Vec<Action>,
+    ) {
+        // The engine may have begun a run that was asked for again, whatever became of that.
+        let sent = sent || self.live.get(&id).is_some_and(|attempt| attempt.is_resumed);
+        if sent && self.plan_resume(now, id, &detail) {
+            self.start_resumes(now, out);
+        } else {
+            self.fail(now, id, sent, detail, out);
+        }
+    }
+
+    /// Ends a run without a whole answer.
+    pub(crate) fn fail(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        sent: bool,
+        detail: String,
+        out: &mut Vec<Action>,
     ) {
         out.push(Action::Log(Note::RunFailed {
             attempt: id,
@@ -142,6 +179,7 @@
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.expire_waiting(now, out);
         self.expire_running(now, out);
+        self.start_resumes(now, out);
         self.trim_kept(now);
         self.start_next(now, out);
     }
--- a/components/testbed/tests/reload.rs
+++ b/components/testbed/tests/reload.rs
@@ -26,6 +26,7 @@
     instant: false,
     forwarder: true,
     plain_delay_ms: 1,
+    log_requests: false,
 };
 const CALLERS: u32 = 6;
 /// Longest wait for an effect that is due within a second or two.
