--- a/benches/slopes/messages.rs
+++ b/benches/slopes/messages.rs
@@ -160,6 +160,7 @@
         incarnation: u64::MAX,
         state: ClaimState::Taken,
         answer: None,
+        object: None,
         token: u128::MAX,
         expires_epoch: 30_000_000,
     };
--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -12,10 +12,12 @@
 use control::LeaseEvent;
 use control::Snapshot;
 use control::rendezvous;
+use platform::ObjectReply;
 use platform::PlatformError;
 use platform::TableReply;
 use request::sweep::Sweep;
 use request::sweep::SweepAction;
+use request::sweep::SweepCall;
 use request::sweep::SweepEvent;
 use types::Incarnation;
 use types::ServiceKind;
@@ -187,11 +189,34 @@
         event: SweepEvent,
         actions: &mut Vec<Action>,
     ) {
-        let Some(SweepAction { operation, request }) = self.duties.sweep.handle(now, event) else {
+        let Some(SweepAction { operation, call }) = self.duties.sweep.handle(now, event) else {
             return;
         };
         let operation = self.begin(Owner::Sweep, operation);
-        actions.push(Action::Table { operation, request });
+        actions.push(match call {
+            SweepCall::Table(request) => Action::Table { operation, request },
+            SweepCall::Object(request) => Action::Object { operation, request },
+        });
+    }
+
+    pub(super) fn object_done(
+        &mut self,
+        now: Instant,
+        operation: u64,
+        result: Result<ObjectReply, PlatformError>,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.operations.end(operation) {
+            Some((Owner::Requests, operation)) => {
+                let event = request::Event::ObjectDone { operation, result };
+                self.tell_requests(now, event, actions);
+            }
+            Some((Owner::Sweep, operation)) => {
+                let event = SweepEvent::ObjectDone { operation, result };
+                self.tell_sweep(now, event, actions);
+            }
+            _ => {}
+        }
     }
 
     pub(super) fn table_done(
--- a/components/entry/src/core/event.rs
+++ b/components/entry/src/core/event.rs
@@ -5,6 +5,8 @@
 use control::HeldLease;
 use control::PeerAnswer;
 use platform::HostEntry;
+use platform::ObjectReply;
+use platform::ObjectRequest;
 use platform::PlatformError;
 use platform::TableReply;
 use platform::TableRequest;
@@ -67,6 +69,13 @@
         /// Its end.
         result: Result<TableReply, PlatformError>,
     },
+    /// A call to the object store ended.
+    ObjectDone {
+        /// Number from `Action::Object`.
+        operation: u64,
+        /// Its end.
+        result: Result<ObjectReply, PlatformError>,
+    },
     /// The host list was read.
     Hosts(Result<Vec<HostEntry>, PlatformError>),
     /// Another entry asks for changes.
@@ -141,6 +150,13 @@
         /// The call.
         request: TableRequest,
     },
+    /// Call the object store and report its end with the same number.
+    Object {
+        /// Number of the call.
+        operation: u64,
+        /// The call.
+        request: ObjectRequest,
+    },
     /// Read the host list and report it.
     ReadHosts,
     /// Ask another entry for the changes after a revision.
--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -206,6 +206,9 @@
             Event::TableDone { operation, result } => {
                 self.table_done(now, operation, result, &mut actions);
             }
+            Event::ObjectDone { operation, result } => {
+                self.object_done(now, operation, result, &mut actions);
+            }
             Event::Hosts(result) => self.hosts(now, result, &mut actions),
             Event::PeerAsks { peer, after } => {
                 let event = FollowerEvent::PeerAsks { peer, after };
--- a/components/entry/src/core/operations.rs
+++ b/components/entry/src/core/operations.rs
@@ -1,4 +1,4 @@
-//! Which state machine made which call to the table.
+//! Which state machine made which call to the table or the object store.
 
 use std::collections::HashMap;
 
--- a/components/entry/src/core/traffic.rs
+++ b/components/entry/src/core/traffic.rs
@@ -87,6 +87,10 @@
                     let operation = self.operations.begin(Owner::Requests, operation);
                     actions.push(Action::Table { operation, request });
                 }
+                request::Action::Object { operation, request } => {
+                    let operation = self.operations.begin(Owner::Requests, operation);
+                    actions.push(Action::Object { operation, request });
+                }
                 request::Action::Settled { request, summary } => {
                     self.settled(request, summary, actions);
                 }
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -28,13 +28,16 @@
 use platform::GuardContext;
 use platform::Guarded;
 use platform::HostList;
+use platform::ObjectStore;
 use platform::RateBudget;
 use platform::RetryOptions;
 use platform::SystemTimer;
 use platform::Table;
 use platform::client::HttpHostList;
+use platform::client::HttpObjectStore;
 use platform::client::HttpOptions;
 use platform::client::HttpTable;
+use platform::objects;
 use settings::EntrySettings;
 use slog::Logger;
 use smol::LocalExecutor;
@@ -61,6 +64,9 @@
 /// is not renewed late, and than most deadlines, so that a claim is refused in time.
 const TABLE_GIVE_UP_MS: std::time::Duration = std::time::Duration::from_secs(3);
 
+/// Longest silence of the object store within a call; as long as a resend waits for its answer.
+const OBJECT_ANSWER_MS: std::time::Duration = std::time::Duration::from_secs(5);
+
 struct Connection {
     outbox: Sender<ToAgent>,
     _task: Task<()>,
@@ -75,6 +81,7 @@
     file: PathBuf,
     keys: RefCell<Keyring>,
     table: Rc<dyn Table>,
+    objects: Rc<dyn ObjectStore>,
     hosts: Rc<dyn HostList>,
     control: control::Executor,
     links: RefCell<HashMap<LinkId, Connection>>,
@@ -159,6 +166,11 @@
             context,
             incarnation,
         ));
+        let options = HttpOptions {
+            answer_ms: OBJECT_ANSWER_MS,
+            ..HttpOptions::default()
+        };
+        let objects = HttpObjectStore::new(settings.platform.objects, options);
         let hosts = HttpHostList::new(settings.platform.hosts, HttpOptions::default());
         Ok(Self {
             core: RefCell::new(EntryCore::new(options::core(&settings), incarnation, now)),
@@ -174,6 +186,7 @@
             file,
             keys: RefCell::new(keys),
             table,
+            objects: Rc::new(objects),
             hosts: Rc::new(hosts),
             links: RefCell::default(),
             replies: RefCell::default(),
@@ -256,6 +269,13 @@
                     daemon.feed(Event::TableDone { operation, result });
                 });
             }
+            Action::Object { operation, request } => {
+                let daemon = self.clone();
+                self.spawn(async move {
+                    let result = objects::call(&*daemon.objects, request).await;
+                    daemon.feed(Event::ObjectDone { operation, result });
+                });
+            }
             Action::ReadHosts => {
                 let daemon = self.clone();
                 self.spawn(async move {
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -5,11 +5,14 @@
 pub mod engine_job;
 pub mod engine_report;
 pub mod hosts;
+pub mod objects;
 pub mod table;
 pub mod target;
 pub mod tasks;
 
 pub use hosts::FakeHosts;
+pub use objects::FakeObjects;
+pub use objects::ObjectFaults;
 pub use table::FakeTable;
 pub use table::TableFaults;
 pub use table::TablePort;
--- a/components/fakes/src/table.rs
+++ b/components/fakes/src/table.rs
@@ -98,6 +98,12 @@
         self.rows.borrow().get(key)
     }
 
+    /// Makes a read or a scan without any fault.
+    #[must_use]
+    pub fn read(&self, request: &TableRequest) -> TableReply {
+        self.rows.borrow_mut().apply(request)
+    }
+
     /// Counts the rows whose key starts with `prefix`, without any fault.
     #[must_use]
     pub fn count(&self, prefix: &str) -> usize {
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -29,6 +29,10 @@
 
 /// Largest part of an answer that is delivered at once.
 const PART_BYTES: usize = 600;
+/// Largest part of a large answer that is delivered at once.
+const LARGE_PART_BYTES: usize = 16 << 10;
+/// Start of the bodies whose answers do not fit into a claim row.
+pub const LARGE_ORDER: &[u8] = b"Order large";
 /// Prompts above this take part of a second.
 const LONG_TOKENS: u32 = 1_000;
 /// Prompts above this take seconds.
@@ -63,7 +67,12 @@
     let sum = body
         .iter()
         .fold(7_usize, |sum, byte| sum * 31 % 65_521 + usize::from(*byte));
-    let filler = answer.len() + sum % 4_000;
+    let filler = match body.starts_with(LARGE_ORDER) {
+        false => answer.len() + sum % 4_000,
+        // One in 29 is above what is kept for resends.
+        true if sum.is_multiple_of(29) => (1 << 20) + 1,
+        true => (64 << 10) - 2_000 + 2 * sum,
+    };
     let unit = answer.clone();
     while answer.len() < filler {
         answer.extend_from_slice(&unit);
@@ -196,7 +205,13 @@
             self.runs.remove(&(agent, run));
             TargetEvent::End
         } else {
-            let part = rest[..rest.len().min(PART_BYTES)].to_vec();
+            let is_large = current.answer.len() > LARGE_PART_BYTES;
+            let limit = if is_large {
+                LARGE_PART_BYTES
+            } else {
+                PART_BYTES
+            };
+            let part = rest[..rest.len().min(limit)].to_vec();
             current.position += part.len();
             TargetEvent::Bytes(part)
         };
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -36,6 +36,8 @@
 pub use memory_services::MemoryHostList;
 pub use memory_services::MemoryObjectStore;
 pub use memory_services::MemoryWeightStore;
+pub use objects::ObjectReply;
+pub use objects::ObjectRequest;
 pub use objects::ObjectStore;
 pub use rows::Rows;
 pub use rows::TableCounters;
--- a/components/request/src/action.rs
+++ b/components/request/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use platform::ObjectRequest;
 use platform::TableRequest;
 use types::RefusalReason;
 use types::Reply;
@@ -63,6 +64,13 @@
         /// The call.
         request: TableRequest,
     },
+    /// Call the object store and report its end with the same number.
+    Object {
+        /// Number of the call.
+        operation: u64,
+        /// The call.
+        request: ObjectRequest,
+    },
     /// The request has ended; nothing is kept of it.
     Settled {
         /// Request concerned.
--- a/components/request/src/answer.rs
+++ b/components/request/src/answer.rs
@@ -3,9 +3,14 @@
 //! Bytes that callers have are never sent twice. A later attempt starts again at offset 0; its
 //! bytes are held back until they have reproduced what callers already have.
 
+use std::rc::Rc;
+
 use wire::AnswerDigest;
 use wire::Digest;
 
+use crate::kept::HeldBytes;
+use crate::kept::Kept;
+
 /// Status and media type of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -36,17 +41,15 @@
     current: AnswerDigest,
     relayed: u64,
     prefix: Option<(u64, Digest)>,
-    kept: Option<Vec<u8>>,
-    keep_limit_bytes: usize,
+    kept: Option<Rc<Kept>>,
 }
 
 impl Answer {
-    /// Keeps the bytes as well, up to a limit, for joiners and for storage.
+    /// Keeps the bytes as well, for joiners and for storage, as far as the limits allow.
     #[must_use]
-    pub fn keeping(limit_bytes: usize) -> Self {
+    pub fn keeping(held: &HeldBytes) -> Self {
         Self {
-            kept: Some(Vec::new()),
-            keep_limit_bytes: limit_bytes,
+            kept: Some(Rc::new(Kept::new(held))),
             ..Self::default()
         }
     }
@@ -63,10 +66,15 @@
         self.current.length()
     }
 
-    /// All bytes so far, unless the limit was exceeded.
+    /// All bytes so far, unless a limit was exceeded.
     #[must_use]
     pub fn kept(&self) -> Option<&[u8]> {
-        self.kept.as_deref()
+        self.kept.as_ref().map(|kept| kept.bytes())
+    }
+
+    /// The same bytes, to be held beyond the life of the run.
+    pub(crate) fn share_kept(&self) -> Option<Rc<Kept>> {
+        self.kept.clone()
     }
 
     /// Bytes handed to callers.
@@ -135,12 +143,10 @@
     }
 
     fn keep(&mut self, bytes: &[u8]) {
-        if let Some(kept) = &mut self.kept {
-            if kept.len() + bytes.len() > self.keep_limit_bytes {
-                self.kept = None;
-            } else {
-                kept.extend_from_slice(bytes);
-            }
+        // Nobody else holds the bytes of an answer that still grows.
+        let pushed = self.kept.as_mut().and_then(Rc::get_mut);
+        if !pushed.is_some_and(|kept| kept.push(bytes)) {
+            self.kept = None;
         }
     }
 
--- a/components/request/src/claim.rs
+++ b/components/request/src/claim.rs
@@ -20,9 +20,16 @@
 /// Least length of an epoch. Claims expire by counting epochs, because the clocks of two hosts
 /// are never compared.
 pub const EPOCH_MS: Duration = Duration::from_mins(1);
-/// Largest answer that is stored in the row. A resend of a request whose answer was larger
-/// gets `outcome-unknown`, until larger answers go to the object store.
-pub const STORED_ANSWER_LIMIT_BYTES: usize = 64 << 10;
+/// Largest answer that is stored in the row; a larger one goes to the object store.
+pub const ROW_ANSWER_LIMIT_BYTES: usize = 64 << 10;
+/// Largest answer that is kept for resends. Agents keep no larger one either (their
+/// `kept_answer_limit_bytes`), so a larger one could not be given to resends until it is stored,
+/// and an entry with 128 MB must hold it whole until then.
+pub const KEPT_ANSWER_LIMIT_BYTES: usize = 1 << 20;
+/// Start of the keys of stored answers in the object store.
+const OBJECT_PREFIX: &str = "answer/";
+/// Start of the keys of claims that no resend can find; their answers are not stored.
+pub const KEYLESS_PREFIX: &str = "claim/keyless-";
 
 /// What is known of the claimed request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +60,42 @@
     pub body: Vec<u8>,
 }
 
+/// Answer kept in the object store, under `ClaimRow::object_key`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+    /// Target that answered.
+    pub served_by: TargetName,
+    /// Key of the body.
+    pub key: String,
+    /// Length of the body.
+    pub length_bytes: u64,
+    /// BLAKE3 digest of the body in hex.
+    pub digest: String,
+}
+
+impl StoredObject {
+    /// Whether these bytes are the whole body.
+    #[must_use]
+    pub fn matches(&self, body: &[u8]) -> bool {
+        body.len() as u64 == self.length_bytes && body_digest(body) == self.digest
+    }
+
+    /// The answer with its body.
+    #[must_use]
+    pub fn to_answer(&self, body: Vec<u8>) -> StoredAnswer {
+        StoredAnswer {
+            status: self.status,
+            content_type: self.content_type.clone(),
+            served_by: self.served_by.clone(),
+            body,
+        }
+    }
+}
+
 /// Value of a claim row.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,10 +117,12 @@
     pub incarnation: Incarnation,
     /// What is known.
     pub state: ClaimState,
-    /// Whole answer of a request that is done, if it is not above
-    /// `STORED_ANSWER_LIMIT_BYTES`.
+    /// Whole answer of a request that is done, if it is not above `ROW_ANSWER_LIMIT_BYTES`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: Option<StoredAnswer>,
+    /// Larger answer of a request that is done. Written only after the object is stored.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub object: Option<StoredObject>,
     /// Unique to the write, to recognise it when its reply is lost.
     #[serde_as(as = "DisplayFromStr")]
     pub token: u128,
@@ -95,6 +140,31 @@
         }
     }
 
+    /// Key of the attempt's answer in the object store. An attempt of non-idempotent work has one
+    /// answer, so the key is never used for other content, and it is known before the row names
+    /// an object: the deletion of the claim finds objects of entries that died before that.
+    #[must_use]
+    pub fn object_key(&self, claim_key: &str) -> String {
+        let claim = claim_key.strip_prefix(CLAIM_PREFIX).unwrap_or(claim_key);
+        let (request, attempt) = (self.request, self.attempt);
+        format!("{OBJECT_PREFIX}{claim}/{request:032x}-{attempt}")
+    }
+
+    /// Whether there may be an object under `object_key`. At most one attempt of a claim ran, and
+    /// it is the one that the row names.
+    #[must_use]
+    pub fn may_have_object(&self, claim_key: &str) -> bool {
+        self.answer.is_none()
+            && self.state != ClaimState::Released
+            && !claim_key.starts_with(KEYLESS_PREFIX)
+    }
+
+    /// Whether the row has the answer or says where it is.
+    #[must_use]
+    pub fn has_answer(&self) -> bool {
+        self.answer.is_some() || self.object.is_some()
+    }
+
     /// JSON text.
     #[must_use]
     pub fn to_json(&self) -> String {
@@ -144,6 +214,12 @@
     u64::try_from(epochs).unwrap_or(u64::MAX / 2) + 1
 }
 
+/// Digest of the body of a stored answer.
+#[must_use]
+pub fn body_digest(body: &[u8]) -> String {
+    blake3::hash(body).to_hex().to_string()
+}
+
 fn hash(parts: &[&[u8]]) -> String {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
--- a/components/request/src/claims.rs
+++ b/components/request/src/claims.rs
@@ -20,6 +20,7 @@
 use crate::claim::ClaimRow;
 use crate::claim::ClaimState;
 use crate::claim::epochs_kept;
+use crate::objects::unreadable;
 use crate::refusal::Ending;
 use crate::refusal::RETRY_MS;
 use crate::requests::Context;
@@ -89,7 +90,7 @@
         }
     }
 
-    fn next_operation(&mut self) -> u64 {
+    pub(crate) fn next_operation(&mut self) -> u64 {
         self.operations += 1;
         self.operations
     }
@@ -209,6 +210,7 @@
                 incarnation,
                 state: ClaimState::Taken,
                 answer: None,
+                object: None,
                 token,
                 expires_epoch: 0,
             },
@@ -274,6 +276,10 @@
             return;
         };
         let overdue = run.table_due.is_some_and(|due| due <= cx.now);
+        if overdue && matches!(run.phase, Phase::Fetching(_)) {
+            self.refuse(cx, id, &unreadable());
+            return;
+        }
         if overdue && matches!(run.phase, Phase::Reading | Phase::Claiming(..)) {
             if let Some(claim) = &mut run.claim {
                 claim.held = None;
--- a/components/request/src/event.rs
+++ b/components/request/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use platform::ObjectReply;
 use platform::PlatformError;
 use platform::TableReply;
 use types::Incarnation;
@@ -83,6 +84,13 @@
         /// Its end.
         result: Result<TableReply, PlatformError>,
     },
+    /// A call to the object store ended.
+    ObjectDone {
+        /// Number from `Action::Object`.
+        operation: u64,
+        /// Its end.
+        result: Result<ObjectReply, PlatformError>,
+    },
     /// The process is stopping: new requests are refused, and those in flight finish.
     Leaving,
     /// Time passed.
--- a/components/request/src/outcomes.rs
+++ b/components/request/src/outcomes.rs
@@ -1,8 +1,10 @@
 //! Outcomes of claimed runs: written in the background, and given to resends.
 
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::Row;
 use platform::RowVersion;
 use types::Refusal;
 use types::RefusalReason;
@@ -18,8 +20,13 @@
 use crate::batch::WriteEnd;
 use crate::claim::ClaimRow;
 use crate::claim::ClaimState;
+use crate::claim::ROW_ANSWER_LIMIT_BYTES;
 use crate::claim::StoredAnswer;
+use crate::claim::StoredObject;
+use crate::claim::body_digest;
 use crate::claims::outcome_unknown;
+use crate::kept::Kept;
+use crate::objects::Storing;
 use crate::refusal::Ending;
 use crate::requests::Context;
 use crate::requests::Requests;
@@ -29,6 +36,13 @@
 /// Time after which an outcome that could not be written is written again.
 const OUTCOME_RETRY_MS: Duration = Duration::from_secs(1);
 
+/// Outcome that the table may not have yet.
+pub(crate) struct Unwritten {
+    row: ClaimRow,
+    /// Body of an answer that goes to the object store.
+    body: Option<Rc<Kept>>,
+}
+
 impl Requests {
     /// Notes how a claimed run ended, and writes it in the background.
     pub(crate) fn close_claim(&mut self, now: Instant, run: &Run, state: ClaimState) {
@@ -41,22 +55,64 @@
         };
         let mut row = held.as_ref().clone();
         row.state = state;
-        row.answer = (state == ClaimState::Done).then(|| stored(run)).flatten();
         let key = claim.key.clone();
+        if state == ClaimState::Done {
+            row.answer = stored(run);
+            if let Some((object, body)) = to_be_stored(run, row.object_key(&key)) {
+                row.object = Some(object);
+                let until = now + run.terms.profile.retention_s;
+                self.store_answer(key, claim.version, row, body, until);
+                return;
+            }
+        }
         self.push_outcome(now, key, claim.version, row);
     }
 
-    fn push_outcome(&mut self, now: Instant, key: String, version: RowVersion, mut row: ClaimRow) {
+    /// Stores an answer in the object store. The row names it only after that.
+    fn store_answer(
+        &mut self,
+        key: String,
+        version: RowVersion,
+        row: ClaimRow,
+        body: Rc<Kept>,
+        until: Instant,
+    ) {
+        let write = self.outcome(key, version, row, Some(body.clone()));
+        self.objects.store(Storing { write, body, until });
+    }
+
+    fn push_outcome(&mut self, now: Instant, key: String, version: RowVersion, row: ClaimRow) {
+        let write = self.outcome(key, version, row, None);
+        self.push_write(now, write);
+    }
+
+    fn outcome(
+        &mut self,
+        key: String,
+        version: RowVersion,
+        mut row: ClaimRow,
+        body: Option<Rc<Kept>>,
+    ) -> Write {
         row.token = self.tokens.next();
-        self.outcomes.insert(key.clone(), row.clone());
-        let write = Write {
+        let unwritten = Unwritten {
+            row: row.clone(),
+            body,
+        };
+        self.outcomes.insert(key.clone(), unwritten);
+        Write {
             key,
             version,
             row,
             epochs_kept: 0,
             purpose: Purpose::Outcome,
-        };
-        self.push_write(now, write);
+        }
+    }
+
+    /// The answer cannot be stored; the row says only that the request ran.
+    pub(crate) fn give_up_answer(&mut self, now: Instant, write: Write) {
+        let mut row = write.row;
+        row.object = None;
+        self.push_outcome(now, write.key, write.version, row);
     }
 
     /// A claim was committed after its run had ended: it was not dispatched.
@@ -73,24 +129,38 @@
                 self.outcomes_delayed.push(write);
                 self.set_timer(cx.now + OUTCOME_RETRY_MS, Timer::Outcomes);
             }
-            WriteEnd::Changed(row) => {
-                let found = row.and_then(|row| {
-                    let value = serde_json::from_str::<ClaimRow>(&row.value).ok()?;
-                    Some((row.version, value))
-                });
-                match found {
-                    // Another entry gave the outcome up as lost, or is still asking for it.
-                    Some((version, value))
-                        if write.row.state == ClaimState::Done
-                            && value.state != ClaimState::Done
-                            && value.attempt_id() == write.row.attempt_id() =>
-                    {
-                        self.push_write(cx.now, Write { version, ..write });
-                    }
-                    _ => self.outcome_written(&write),
-                }
+            WriteEnd::Changed(None) => {
+                // The claim has expired and was deleted, so no deletion finds the object.
+                self.delete_object_of(&write);
+                self.outcome_written(&write);
+            }
+            WriteEnd::Changed(Some(row)) => self.outcome_contested(cx, write, &row),
+        }
+    }
+
+    fn outcome_contested(&mut self, cx: &mut Context, write: Write, row: &Row) {
+        if let Ok(found) = serde_json::from_str::<ClaimRow>(&row.value) {
+            let same = found.attempt_id() == write.row.attempt_id();
+            // Another entry gave the outcome up as lost, is still asking for it, or had no room
+            // for the answer.
+            let is_better =
+                found.state != ClaimState::Done || (write.row.has_answer() && !found.has_answer());
+            if write.row.state == ClaimState::Done && same && is_better {
+                let version = row.version;
+                self.push_write(cx.now, Write { version, ..write });
+                return;
+            }
+            if !same {
+                self.delete_object_of(&write);
             }
         }
+        self.outcome_written(&write);
+    }
+
+    fn delete_object_of(&mut self, write: &Write) {
+        if let Some(object) = &write.row.object {
+            self.objects.delete(object.key.clone());
+        }
     }
 
     /// Writes again what could not be written.
@@ -101,7 +171,7 @@
     }
 
     fn outcome_written(&mut self, write: &Write) {
-        let same = |row: &ClaimRow| row.token == write.row.token;
+        let same = |unwritten: &Unwritten| unwritten.row.token == write.row.token;
         if self.outcomes.get(&write.key).is_some_and(same) {
             self.outcomes.remove(&write.key);
         }
@@ -116,9 +186,10 @@
         key: &str,
         digest: &str,
     ) -> bool {
-        let Some(row) = self.outcomes.get(key) else {
+        let Some(unwritten) = self.outcomes.get(key) else {
             return false;
         };
+        let row = &unwritten.row;
         if row.digest != digest {
             let refusal = crate::claims::key_reused().refusal(RunState::NotRun);
             crate::submit::refuse_at_once(cx, request, submission, refusal);
@@ -126,7 +197,7 @@
         }
         match row.state {
             ClaimState::Done | ClaimState::Unknown => {
-                let replies = replies_from(row);
+                let replies = replies_from(unwritten);
                 crate::submit::reply_at_once(cx, request, submission, replies);
                 true
             }
@@ -136,10 +207,20 @@
 
     /// Answers all callers of a run from a claim that is done.
     pub(crate) fn answer_from_store(&mut self, cx: &mut Context, id: RequestId, row: &ClaimRow) {
-        let Some(stored) = &row.answer else {
-            self.lose_outcome(cx, id, &too_large());
-            return;
-        };
+        match (&row.answer, &row.object) {
+            (Some(stored), _) => self.answer_as_stored(cx, id, stored),
+            (None, Some(object)) => self.fetch_answer(cx, id, object),
+            (None, None) => self.lose_outcome(cx, id, &not_kept()),
+        }
+    }
+
+    /// Gives all callers of a run an answer that was stored whole.
+    pub(crate) fn answer_as_stored(
+        &mut self,
+        cx: &mut Context,
+        id: RequestId,
+        stored: &StoredAnswer,
+    ) {
         let requests: Vec<RequestId> = self.runs.get(&id).map_or_else(Vec::new, |run| {
             run.waiters.iter().map(|w| w.request).collect()
         });
@@ -161,16 +242,36 @@
     }
 }
 
+/// Answer that fits into the row.
 fn stored(run: &Run) -> Option<StoredAnswer> {
     let head = run.answer.head()?;
-    Some(StoredAnswer {
+    let body = run.answer.kept()?;
+    (body.len() <= ROW_ANSWER_LIMIT_BYTES).then(|| StoredAnswer {
         status: head.status,
         content_type: head.content_type.clone(),
         served_by: run.tried.last().cloned().unwrap_or_default(),
-        body: run.answer.kept()?.to_vec(),
+        body: body.to_vec(),
     })
 }
 
+/// Answer that is too large for the row.
+fn to_be_stored(run: &Run, key: String) -> Option<(StoredObject, Rc<Kept>)> {
+    let head = run.answer.head()?;
+    let kept = run.answer.share_kept()?;
+    if kept.bytes().len() <= ROW_ANSWER_LIMIT_BYTES {
+        return None;
+    }
+    let object = StoredObject {
+        status: head.status,
+        content_type: head.content_type.clone(),
+        served_by: run.tried.last().cloned().unwrap_or_default(),
+        key,
+        length_bytes: kept.bytes().len() as u64,
+        digest: body_digest(kept.bytes()),
+    };
+    Some((object, kept))
+}
+
 fn stored_replies(stored: &StoredAnswer) -> Vec<Reply> {
     let mut replies = vec![Reply::Head {
         status: stored.status,
@@ -183,26 +284,28 @@
     replies
 }
 
-fn replies_from(row: &ClaimRow) -> Vec<Reply> {
+fn replies_from(unwritten: &Unwritten) -> Vec<Reply> {
+    let row = &unwritten.row;
     if row.state == ClaimState::Unknown {
         return vec![Reply::Refused(outcome_unknown().refusal(RunState::Unknown))];
     }
-    match &row.answer {
-        Some(stored) => {
-            let mut replies = stored_replies(stored);
-            replies.push(Reply::End);
-            replies
+    let mut replies = match (&row.answer, &row.object, &unwritten.body) {
+        (Some(stored), _, _) => stored_replies(stored),
+        (None, Some(object), Some(body)) => {
+            stored_replies(&object.to_answer(body.bytes().to_vec()))
         }
-        None => vec![Reply::Refused(too_large().refusal(RunState::Unknown))],
-    }
+        _ => return vec![Reply::Refused(not_kept().refusal(RunState::Unknown))],
+    };
+    replies.push(Reply::End);
+    replies
 }
 
-pub(crate) fn too_large() -> Ending<'static> {
+pub(crate) fn not_kept() -> Ending<'static> {
     Ending::new(
         RefusalReason::OutcomeUnknown,
         None,
-        "the request ran and its answer is longer than what is kept for resends; it will not \
-         be run again",
+        "the request ran and its answer is not kept for resends, because it was too large or \
+         could not be stored; it will not be run again",
     )
 }
 
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -15,8 +15,10 @@
 use crate::batch::Batches;
 use crate::batch::Write;
 use crate::budget::RetryBudget;
-use crate::claim::ClaimRow;
 use crate::event::Event;
+use crate::kept::HeldBytes;
+use crate::objects::Objects;
+use crate::outcomes::Unwritten;
 use crate::queue::Queue;
 use crate::router::Router;
 use crate::run::Phase;
@@ -46,6 +48,8 @@
     Flush,
     /// Write outcomes again that could not be written.
     Outcomes,
+    /// Store answers again that could not be stored.
+    Objects,
 }
 
 /// Queue of one profile for one service.
@@ -73,8 +77,10 @@
     pub(crate) reads_pending: Vec<RequestId>,
     pub(crate) reads: BTreeMap<u64, Vec<RequestId>>,
     /// Outcomes that are not written yet, by the key of their row.
-    pub(crate) outcomes: BTreeMap<String, ClaimRow>,
+    pub(crate) outcomes: BTreeMap<String, Unwritten>,
     pub(crate) outcomes_delayed: Vec<Write>,
+    pub(crate) objects: Objects,
+    pub(crate) kept_bytes: HeldBytes,
     pub(crate) tokens: Tokens,
     pub(crate) entry: Incarnation,
     /// Number of the last call to the table.
@@ -104,6 +110,8 @@
             reads: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcomes_delayed: Vec::new(),
+            objects: Objects::default(),
+            kept_bytes: HeldBytes::default(),
             tokens: Tokens::new(entry, seed),
             entry,
             operations: 0,
@@ -166,6 +174,7 @@
                 incarnation,
             } => self.incarnation_gone(cx, &target, incarnation),
             Event::TableDone { operation, result } => self.table_done(cx, operation, result),
+            Event::ObjectDone { operation, result } => self.object_done(cx, operation, result),
             Event::Tick => {}
             Event::Leaving => self.leaving = true,
         }
@@ -173,6 +182,7 @@
             self.pump(cx);
         }
         self.flush_table(cx);
+        self.flush_objects(cx);
         context.actions
     }
 
@@ -228,8 +238,8 @@
                     }
                 }
                 Timer::Linger(id) => self.linger_over(cx, id),
-                // Writes that are due are committed at the end of every event.
-                Timer::Flush => {}
+                // Calls that are due are made at the end of every event.
+                Timer::Flush | Timer::Objects => {}
                 Timer::Outcomes => self.retry_outcomes(cx.now),
             }
         }
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::answer::Answer;
 use crate::claim::ClaimRow;
+use crate::claim::StoredObject;
 use crate::event::Terms;
 use crate::router::Need;
 
@@ -71,6 +72,8 @@
     Claiming(TargetName, Incarnation),
     /// Another entry holds the claim; its agent is asked whether the attempt was started.
     Enquiring(Box<ClaimRow>),
+    /// Another submission ran; its answer is being read from the object store.
+    Fetching(Box<StoredObject>),
     /// Waits for the retry budget.
     Delayed,
     /// An attempt is in progress.
@@ -110,7 +113,7 @@
 
     /// What may be said of the run if it ended now.
     pub fn state(&self) -> RunState {
-        let elsewhere = matches!(self.phase, Phase::Enquiring(_));
+        let elsewhere = matches!(self.phase, Phase::Enquiring(_) | Phase::Fetching(_));
         if self.touched || self.attempt.is_some() || elsewhere {
             return RunState::Unknown;
         }
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -17,14 +17,13 @@
 use crate::action::Outcome;
 use crate::action::Summary;
 use crate::answer::Answer;
-use crate::claim::CLAIM_PREFIX;
-use crate::claim::STORED_ANSWER_LIMIT_BYTES;
+use crate::claim::KEYLESS_PREFIX;
 use crate::claim::claim_key;
 use crate::claim::work_digest;
 use crate::claims::key_reused;
 use crate::event::Terms;
+use crate::outcomes::not_kept;
 use crate::outcomes::refusal_in;
-use crate::outcomes::too_large;
 use crate::refusal::Ending;
 use crate::refusal::RETRY_MS;
 use crate::refusal::not_run;
@@ -53,10 +52,15 @@
         let mut run = new_run(cx.now, request, submission, terms, idempotent);
         if !idempotent {
             match self.claim_for(cx, &run) {
-                Some(claim) => run.claim = Some(claim),
+                Some(claim) => {
+                    // Nobody can ask for the answer of a run under a random key.
+                    if claim.keyed {
+                        run.answer = Answer::keeping(&self.kept_bytes);
+                    }
+                    run.claim = Some(claim);
+                }
                 None => return,
             }
-            run.answer = Answer::keeping(STORED_ANSWER_LIMIT_BYTES);
         }
         self.admit(cx, run);
     }
@@ -72,7 +76,7 @@
                 refuse_at_once(cx, run.id, submission, refusal);
                 return None;
             }
-            let key = format!("{CLAIM_PREFIX}keyless-{:032x}", self.tokens.next());
+            let key = format!("{KEYLESS_PREFIX}{:032x}", self.tokens.next());
             return Some(new_claim(key, digest, false));
         };
         let key = claim_key(submission, key);
@@ -102,7 +106,7 @@
             return;
         }
         if run.answer.kept().is_none() {
-            let refusal = too_large().refusal(RunState::Unknown);
+            let refusal = not_kept().refusal(RunState::Unknown);
             refuse_at_once(cx, resend.id, submission, refusal);
             return;
         }
--- a/components/request/src/sweep.rs
+++ b/components/request/src/sweep.rs
@@ -3,12 +3,20 @@
 //! Two holders at once do no harm. An epoch is counted only by a transaction on the version
 //! that this process has seen unchanged for a whole epoch on its own clock, and a claim is
 //! deleted only at the version that was read.
+//!
+//! The object of a claim is deleted before its row, so that a holder that stops in between
+//! leaves a row from which the next one finds the object again. The key follows from the row in
+//! any state: an entry that stored an object and died before the row named it leaves a row that
+//! is `taken` or `unknown`, and the object goes with that row. A row whose object cannot be
+//! deleted stays until the next pass.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use platform::Check;
 use platform::CommitOutcome;
+use platform::ObjectReply;
+use platform::ObjectRequest;
 use platform::PlatformError;
 use platform::Put;
 use platform::Row;
@@ -29,6 +37,9 @@
 pub const CURSOR_KEY: &str = "sweep-cursor";
 /// Time between two calls, which bounds the load on the table to 4 reads and 4 writes a second.
 const STEP_MS: Duration = Duration::from_millis(250);
+/// Time between two deletions of objects: at most 50 of the store's several hundred writes a
+/// second.
+const OBJECT_STEP_MS: Duration = Duration::from_millis(20);
 /// Rows read at once; 64 stored answers are at most 6 MB as JSON.
 const PAGE_ROWS: usize = 64;
 /// Time after which a call that has not ended is given up.
@@ -49,17 +60,33 @@
         /// Its end.
         result: Result<TableReply, PlatformError>,
     },
+    /// A call to the object store ended.
+    ObjectDone {
+        /// Number from `SweepAction`.
+        operation: u64,
+        /// Its end.
+        result: Result<ObjectReply, PlatformError>,
+    },
     /// Time passed.
     Tick,
 }
 
-/// Call the table and report its end with the same number.
+/// One call.
+#[derive(Debug)]
+pub enum SweepCall {
+    /// To the table.
+    Table(TableRequest),
+    /// To the object store.
+    Object(ObjectRequest),
+}
+
+/// Make a call and report its end with the same number.
 #[derive(Debug)]
 pub struct SweepAction {
     /// Number of the call.
     pub operation: u64,
     /// The call.
-    pub request: TableRequest,
+    pub call: SweepCall,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +94,7 @@
     ReadEpoch,
     CountEpoch,
     ReadPage,
+    DeleteObject,
     Delete,
 }
 
@@ -88,6 +116,8 @@
     epoch_seen: Option<Instant>,
     after: String,
     expired: Vec<Row>,
+    /// Objects of expired claims, with the keys of their rows.
+    objects: Vec<(String, String)>,
     deleted: u64,
     tokens: Tokens,
 }
@@ -107,6 +137,7 @@
             epoch_seen: None,
             after: String::new(),
             expired: Vec::new(),
+            objects: Vec::new(),
             deleted: 0,
             tokens: Tokens::new(0, seed),
         }
@@ -117,6 +148,9 @@
         match event {
             SweepEvent::Lease { held } => self.lease(now, held),
             SweepEvent::TableDone { operation, result } => self.done(now, operation, result),
+            SweepEvent::ObjectDone { operation, result } => {
+                self.object_done(operation, &result);
+            }
             SweepEvent::Tick => {}
         }
         self.next_call(now)
@@ -146,6 +180,7 @@
         self.call = None;
         self.after.clear();
         self.expired.clear();
+        self.objects.clear();
         self.next_at = held.then_some(now);
     }
 
@@ -160,22 +195,29 @@
         if !self.held || self.next_at.is_none_or(|at| at > now) {
             return None;
         }
-        let request = match self.step {
-            Step::ReadEpoch => TableRequest::Read(vec![EPOCH_KEY.to_owned()]),
-            Step::CountEpoch => self.count_epoch(),
-            Step::ReadPage => TableRequest::Scan {
+        let mut pause_ms = STEP_MS;
+        let call = match self.step {
+            Step::ReadEpoch => SweepCall::Table(TableRequest::Read(vec![EPOCH_KEY.to_owned()])),
+            Step::CountEpoch => SweepCall::Table(self.count_epoch()),
+            Step::ReadPage => SweepCall::Table(TableRequest::Scan {
                 prefix: CLAIM_PREFIX.to_owned(),
                 after: self.after.clone(),
                 limit: PAGE_ROWS,
-            },
-            Step::Delete => self.delete(),
+            }),
+            Step::DeleteObject => {
+                pause_ms = OBJECT_STEP_MS;
+                let key = self.objects.last().map(|(_, key)| key.clone());
+                let key = key.unwrap_or_default();
+                SweepCall::Object(ObjectRequest::Delete { key })
+            }
+            Step::Delete => SweepCall::Table(self.delete()),
         };
         self.operations += 1;
         self.call = Some((self.operations, now));
-        self.next_at = Some(now + STEP_MS);
+        self.next_at = Some(now + pause_ms);
         Some(SweepAction {
             operation: self.operations,
-            request,
+            call,
         })
     }
 
@@ -194,6 +236,28 @@
         }
     }
 
+    fn object_done(&mut self, operation: u64, result: &Result<ObjectReply, PlatformError>) {
+        let is_current = self.call.is_some_and(|(number, _)| number == operation);
+        if !is_current || self.step != Step::DeleteObject {
+            return;
+        }
+        self.call = None;
+        if result.is_ok() {
+            self.objects.pop();
+        } else {
+            let kept = std::mem::take(&mut self.objects);
+            self.expired
+                .retain(|row| kept.iter().all(|(claim, _)| *claim != row.key));
+        }
+        self.step = if !self.objects.is_empty() {
+            Step::DeleteObject
+        } else if self.expired.is_empty() {
+            Step::ReadEpoch
+        } else {
+            Step::Delete
+        };
+    }
+
     fn epoch_read(&mut self, now: Instant, row: Option<&Row>) {
         let version = row.map_or(0, |row| row.version);
         let value = row.and_then(|row| serde_json::from_str::<EpochRow>(&row.value).ok());
@@ -233,9 +297,21 @@
         let last = rows.last().map(|row| row.key.clone());
         self.after = last.filter(|_| whole).unwrap_or_default();
         let epoch = self.epoch;
-        let expired = rows.into_iter().filter(|row| is_expired(row, epoch));
-        self.expired = expired.collect();
-        if !self.expired.is_empty() {
+        self.expired.clear();
+        self.objects.clear();
+        for row in rows {
+            let Some(claim) = expired_claim(&row, epoch) else {
+                continue;
+            };
+            if claim.may_have_object(&row.key) {
+                let object = claim.object_key(&row.key);
+                self.objects.push((row.key.clone(), object));
+            }
+            self.expired.push(row);
+        }
+        if !self.objects.is_empty() {
+            self.step = Step::DeleteObject;
+        } else if !self.expired.is_empty() {
             self.step = Step::Delete;
         }
     }
@@ -285,6 +361,7 @@
     }
 }
 
-fn is_expired(row: &Row, epoch: u64) -> bool {
-    serde_json::from_str::<ClaimRow>(&row.value).is_ok_and(|claim| claim.expires_epoch < epoch)
+fn expired_claim(row: &Row, epoch: u64) -> Option<ClaimRow> {
+    let claim = serde_json::from_str::<ClaimRow>(&row.value).ok()?;
+    (claim.expires_epoch < epoch).then_some(claim)
 }
--- a/components/request/src/takeover.rs
+++ b/components/request/src/takeover.rs
@@ -14,7 +14,6 @@
 use crate::answer::Answer;
 use crate::claim::ClaimRow;
 use crate::claim::ClaimState;
-use crate::claim::STORED_ANSWER_LIMIT_BYTES;
 use crate::claims::outcome_unknown;
 use crate::dispatch::WINDOW_BYTES;
 use crate::refusal::Ending;
@@ -114,7 +113,7 @@
         };
         let attempt = row.attempt_id();
         run.phase = Phase::Running;
-        run.answer = Answer::keeping(STORED_ANSWER_LIMIT_BYTES);
+        run.answer = Answer::keeping(&self.kept_bytes);
         run.tried.push(row.target.clone());
         run.attempt = Some(Attempt {
             id: attempt,
--- a/components/request/tests/batches.rs
+++ b/components/request/tests/batches.rs
@@ -22,6 +22,7 @@
             incarnation: 1,
             state: ClaimState::Taken,
             answer: None,
+            object: None,
             token: u128::from(number),
             expires_epoch: 0,
         },
--- a/components/request/tests/interleavings.rs
+++ b/components/request/tests/interleavings.rs
@@ -1,7 +1,7 @@
 //! Arbitrary interleavings of requests, resends and faults at two entries.
 //!
 //! Guards against work that must not be repeated being run twice, refusals that are not true,
-//! answers that are cut or mixed up, callers left without a final reply, and state left behind.
+//! answers that are cut or mixed up, rows that name objects which are not stored, callers left without a final reply, and state left behind.
 
 mod support;
 
@@ -24,6 +24,9 @@
         6..=13 => world.deliver(usize::from(first)),
         14 => world.deliver(0),
         15 => world.repeat(usize::from(first)),
+        16..=20 if world.entries[entry].operations.is_empty() => {
+            world.end_object_call(entry, usize::from(second), u8::MAX);
+        }
         16..=20 => world.end_call(entry, usize::from(second), u8::MAX),
         21 => world.end_call(entry, usize::from(second), 0),
         22 => world.end_call(entry, usize::from(second), 1),
@@ -34,6 +37,7 @@
         27 if first < 64 => world.restart_agent(target),
         27 if first < 96 => world.restart_entry(entry),
         28 if first < 64 => world.hang_up(usize::from(second)),
+        28 => world.end_object_call(entry, usize::from(second), first % 4),
         29 => {
             let treatments = [
                 Treatment::Answers,
--- /dev/null
+++ b/components/request/tests/objects.rs
@@ -0,0 +1,229 @@
+//! Answers that are too large for a claim row.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform::MemoryTable;
+use platform::ObjectReply;
+use platform::PlatformError;
+use platform::Put;
+use platform::TableRequest;
+use platform::Transaction;
+use request::Sweep;
+use request::SweepCall;
+use request::SweepEvent;
+use request::answer::Answer;
+use request::answer::AnswerHead;
+use request::claim::ClaimRow;
+use request::claim::ClaimState;
+use request::claim::EPOCH_KEY;
+use request::claim::KEPT_ANSWER_LIMIT_BYTES;
+use request::kept::HELD_LIMIT_BYTES;
+use request::kept::HeldBytes;
+use support::world::LARGE_KEY;
+use support::world::World;
+use types::RefusalReason;
+use types::RunState;
+
+/// A run has ended at entry 0, and neither that process nor the agent remembers it.
+fn answered_and_forgotten() -> World {
+    let mut world = World::new();
+    world.submit(0, Some(LARGE_KEY), false);
+    world.settle();
+    world.advance(Duration::from_millis(100));
+    world.settle();
+    assert_eq!(world.answered(), 1);
+    assert_eq!(world.objects.len(), 1);
+    world.restart_entry(0);
+    world.restart_agent(0);
+    world.restart_agent(1);
+    world.settle();
+    world
+}
+
+/// Guards against a resend that does not get the answer of the first submission.
+#[test]
+fn resend_gets_a_large_answer_from_the_object_store() {
+    let mut world = answered_and_forgotten();
+    world.submit(1, Some(LARGE_KEY), false);
+    world.settle();
+    assert_eq!(world.answered(), 2);
+    world.finish();
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against partial answers, refusals that are not true, and a caller that is not told
+/// when to come back.
+#[test]
+fn refuses_with_a_time_to_return_while_the_object_cannot_be_read() {
+    for way in 0..4 {
+        let mut world = answered_and_forgotten();
+        world.submit(1, Some(LARGE_KEY), false);
+        while world.entries[1].object_calls.is_empty() {
+            world.end_call(1, 0, u8::MAX);
+            world.advance(Duration::from_millis(5));
+        }
+        world.end_object_call(1, 0, way);
+        let refusals: Vec<_> = world.callers.values().filter_map(|c| c.refusal).collect();
+        let unreadable = (RefusalReason::StoreUnavailable, RunState::Unknown);
+        assert_eq!(refusals, [unreadable]);
+        assert!(
+            world
+                .callers
+                .values()
+                .all(|c| c.retry_after_ms.is_some() || c.whole)
+        );
+        world.submit(1, Some(LARGE_KEY), false);
+        world.settle();
+        assert_eq!(world.answered(), 2);
+        world.finish();
+        assert_eq!(world.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a caller that waits for a silent store until its deadline.
+#[test]
+fn refuses_when_the_store_is_silent() {
+    let mut world = answered_and_forgotten();
+    world.submit(1, Some(LARGE_KEY), false);
+    for _ in 0..12 {
+        world.end_call(1, 0, u8::MAX);
+        world.advance(Duration::from_millis(500));
+    }
+    assert_eq!(world.refused(), 1);
+    world.finish();
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against an outcome that is lost because the store was down when the run ended.
+#[test]
+fn stores_an_answer_after_an_outage_and_gives_it_from_memory_until_then() {
+    let mut world = World::new();
+    world.submit(0, Some(LARGE_KEY), false);
+    for _ in 0..200 {
+        world.deliver(0);
+        world.end_call(0, 0, u8::MAX);
+        world.end_object_call(0, 0, 0);
+        world.advance(Duration::from_millis(50));
+    }
+    assert!(world.objects.is_empty());
+    assert!(!world.entries[0].requests.is_idle());
+    world.submit(0, Some(LARGE_KEY), false);
+    assert_eq!(world.answered(), 2);
+    world.finish();
+    assert_eq!(world.objects.len(), 1);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against an outage of the store that fills the memory of an entry.
+#[test]
+fn holds_no_more_than_its_limit_and_gives_the_memory_back() {
+    let held = HeldBytes::default();
+    let mut answers = Vec::new();
+    for index in 0..=HELD_LIMIT_BYTES / KEPT_ANSWER_LIMIT_BYTES {
+        let mut answer = Answer::keeping(&held);
+        answer.take_head(AnswerHead {
+            status: 200,
+            content_type: String::new(),
+        });
+        answer.take_chunk(0, vec![1; KEPT_ANSWER_LIMIT_BYTES / 2]);
+        answer.take_chunk(0, vec![1; KEPT_ANSWER_LIMIT_BYTES]);
+        assert!(held.get() <= HELD_LIMIT_BYTES);
+        let fits = index < HELD_LIMIT_BYTES / KEPT_ANSWER_LIMIT_BYTES;
+        assert_eq!(answer.kept().is_some(), fits);
+        answers.push(answer);
+    }
+    answers.clear();
+    assert_eq!(held.get(), 0);
+}
+
+fn row(state: ClaimState, request: u128) -> ClaimRow {
+    ClaimRow {
+        digest: String::new(),
+        owner: 1,
+        request,
+        attempt: 1,
+        target: "a".to_owned(),
+        incarnation: 1,
+        state,
+        answer: None,
+        object: None,
+        token: request,
+        expires_epoch: 1,
+    }
+}
+
+/// Guards against objects that stay for good: those of claims in every state, of entries that
+/// died before the row named them, and of claims whose object could not be deleted at first.
+#[test]
+fn deletes_the_objects_of_expired_claims_before_their_rows() {
+    let table = MemoryTable::new();
+    let put = |key: &str, value: String| {
+        table.apply(&TableRequest::Commit(Transaction {
+            checks: Vec::new(),
+            puts: vec![Put {
+                key: key.to_owned(),
+                value: Some(value),
+            }],
+            proof: key.to_owned(),
+        }));
+    };
+    put(EPOCH_KEY, r#"{"epoch": 5, "token": "1"}"#.to_owned());
+    let claims = [
+        ("claim/done", row(ClaimState::Done, 1)),
+        ("claim/keyless-1", row(ClaimState::Taken, 2)),
+        ("claim/released", row(ClaimState::Released, 3)),
+        ("claim/taken", row(ClaimState::Taken, 4)),
+        ("claim/unknown", row(ClaimState::Unknown, 5)),
+    ];
+    let mut objects = BTreeSet::new();
+    for (key, claim) in &claims {
+        put(key, claim.to_json());
+        if claim.may_have_object(key) {
+            objects.insert(claim.object_key(key));
+        }
+    }
+    assert_eq!(objects.len(), 3);
+    let mut now = Instant::now();
+    let mut sweep = Sweep::new(1);
+    let mut action = sweep.handle(now, SweepEvent::Lease { held: true });
+    for step in 0..100 {
+        if let Some(call) = action.take() {
+            let operation = call.operation;
+            let event = match call.call {
+                SweepCall::Table(request) => SweepEvent::TableDone {
+                    operation,
+                    result: Ok(table.apply(&request)),
+                },
+                SweepCall::Object(_) if step < 50 => SweepEvent::ObjectDone {
+                    operation,
+                    result: Err(PlatformError::Unavailable("outage".to_owned())),
+                },
+                SweepCall::Object(platform::ObjectRequest::Delete { key }) => {
+                    objects.remove(&key);
+                    SweepEvent::ObjectDone {
+                        operation,
+                        result: Ok(ObjectReply::Deleted),
+                    }
+                }
+                SweepCall::Object(other) => panic!("{other:?}"),
+            };
+            action = sweep.handle(now, event);
+        }
+        for (key, claim) in &claims {
+            let is_left = objects.contains(&claim.object_key(key));
+            assert!(!is_left || table.row(key).is_some(), "{key} has an object");
+        }
+        if step == 49 {
+            assert_eq!(objects.len(), 3);
+            assert!(table.row("claim/released").is_none());
+        }
+        now += Duration::from_millis(250);
+        action = action.or_else(|| sweep.handle(now, SweepEvent::Tick));
+    }
+    assert!(objects.is_empty());
+    assert!(claims.iter().all(|(key, _)| table.row(key).is_none()));
+}
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -24,6 +24,8 @@
 const MEAN_GAP_US: f64 = 25_000.0;
 /// A caller gives up this long after the deadline.
 const PATIENCE_MS: Duration = Duration::from_secs(3);
+/// Orders in thousand whose answer does not fit into a claim row.
+const LARGE_PERMILLE: u32 = 200;
 /// Resends of one operation.
 const RESENDS: u32 = 4;
 /// The balancer stops sending to an entry that has not answered it for this long.
@@ -48,6 +50,8 @@
     pub answered: Option<Instant>,
     prompt_tokens: u32,
     resends_left: u32,
+    /// Times that it was sent again after its answer.
+    pub again: u32,
 }
 
 /// One request sent for an operation.
@@ -68,6 +72,8 @@
 pub enum CallerEvent {
     Arrive,
     Send(usize),
+    /// Send again what was answered.
+    Again(usize),
     Reply(RequestId, Reply),
     Consume(RequestId, u64),
     HangUp(RequestId),
@@ -85,6 +91,9 @@
         match event {
             CallerEvent::Arrive => self.arrive(),
             CallerEvent::Send(op) => self.send(op),
+            CallerEvent::Again(op) => {
+                self.submit(op);
+            }
             CallerEvent::Reply(request, reply) => self.reply(request, reply),
             CallerEvent::Consume(request, bytes) => {
                 self.tell_entry(request, Event::Consumed { request, bytes });
@@ -110,13 +119,16 @@
             80..96 => 4_000,
             _ => 12_000,
         };
+        let is_large = kind == Kind::Order && self.chance(LARGE_PERMILLE);
+        let large = if is_large { " large" } else { "" };
         let op = Op {
             kind,
-            body: format!("{kind:?} {number}").into_bytes(),
+            body: format!("{kind:?}{large} {number}").into_bytes(),
             first: self.now(),
             answered: None,
             prompt_tokens,
             resends_left: RESENDS,
+            again: 0,
         };
         self.ops.push(op);
         self.send(number);
@@ -156,15 +168,22 @@
         if self.ops[op].answered.is_some() || now >= self.ops[op].first + 2 * DEADLINE_MS {
             return;
         }
-        let Some(at) = self.balance() else {
+        if !self.submit(op) {
             self.after(
                 Duration::from_millis(200),
                 Happening::Caller(CallerEvent::Send(op)),
             );
-            return;
+        }
+    }
+
+    /// Sends a request for an operation. Returns whether an entry takes requests.
+    fn submit(&mut self, op: usize) -> bool {
+        let now = self.now();
+        let Some(at) = self.balance() else {
+            return false;
         };
         let Some(core) = &mut self.entries[at].core else {
-            return;
+            return false;
         };
         let request = core.new_request();
         let run = core.incarnation();
@@ -199,6 +218,7 @@
             let delay = self.millis(5, 1_000);
             self.after(delay, Happening::Caller(CallerEvent::HangUp(request)));
         }
+        true
     }
 
     fn tell_entry(&mut self, request: RequestId, event: Event) {
--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -62,6 +62,7 @@
             .violations
             .drain(..)
             .chain(self.facts.borrow_mut().violations.drain(..))
+            .chain(self.objects.take_violations())
             .collect();
         for violation in found {
             self.violation(violation);
@@ -158,6 +159,7 @@
     pub fn finish(&mut self, goodput: &Goodput) {
         self.check_ends();
         self.check_not_run();
+        self.check_objects();
         self.check("recovery");
         if goodput.after < RECOVERED_SHARE * goodput.before {
             self.violation(format!(
@@ -245,6 +247,7 @@
             "orders_accepted": facts.order_checks,
             "orders_obeyed": self.ledger.borrow().obeyed.len(),
             "orders_fenced": self.ledger.borrow().fenced,
+            "objects_left": self.objects.keys().len(),
             "claims_left": self.table.count(CLAIM_PREFIX),
             "planned_orders_accepted": facts.planned_checks,
             "commands_done": facts.commands_done,
--- a/examples/soak/entries.rs
+++ b/examples/soak/entries.rs
@@ -141,6 +141,9 @@
     }
 
     pub fn entry_event(&mut self, at: usize, event: Event) {
+        if self.killed_after_put(at, &event) {
+            return;
+        }
         let now = self.now();
         let host = &mut self.entries[at];
         let run = host.incarnation;
@@ -217,6 +220,9 @@
             }
             Action::SendDatagram { to, datagram } => self.datagram(node, to, &datagram),
             Action::Table { operation, request } => self.call_table(at, run, operation, request),
+            Action::Object { operation, request } => {
+                self.call_objects(at, run, operation, request);
+            }
             Action::ReadHosts => {
                 let now = self.now();
                 let result = if self.entries[at].cut.get() {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -21,6 +21,7 @@
 mod repair;
 mod replies;
 mod setup;
+mod stores;
 mod world;
 
 use std::process::ExitCode;
--- a/examples/soak/repair.rs
+++ b/examples/soak/repair.rs
@@ -19,6 +19,7 @@
     Agent(usize),
     Engine(usize),
     Table,
+    Objects,
     Platform(Node),
     HostList(usize),
     Replace(usize),
@@ -37,6 +38,7 @@
                 self.agents[at].target.restart();
             }
             Repair::Table => self.table.set_faults(TableFaults::default()),
+            Repair::Objects => self.heal_objects(),
             Repair::Platform(Node::Entry(at)) => self.entries[at].cut.set(false),
             Repair::Platform(Node::Agent(at)) => self.agents[at].cut.set(false),
             Repair::HostList(at) => {
@@ -75,6 +77,7 @@
     pub fn heal(&mut self) {
         let now = self.now();
         self.table.set_faults(TableFaults::default());
+        self.heal_objects();
         self.storm_until = None;
         for until in self.cuts.values_mut() {
             *until = now;
