--- a/components/request/src/kept.rs
+++ b/components/request/src/kept.rs
@@ -1,4 +1,4 @@
-//! Answers kept in memory until they are stored, within a limit for the whole process.
+//! Large answers in memory, within limits for the whole process.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -6,19 +6,69 @@
 use crate::claim::KEPT_ANSWER_LIMIT_BYTES;
 use crate::claim::ROW_ANSWER_LIMIT_BYTES;
 
-/// Bytes of large answers that one entry holds at once: a quarter of its 128 MB. An outage of
-/// the object store would otherwise fill the memory. An answer beyond it is not kept.
+/// Bytes of large answers that one entry holds until they are stored: a quarter of its 128 MB.
+/// An outage of the object store would otherwise fill the memory. An answer beyond it is not
+/// kept.
 pub const HELD_LIMIT_BYTES: usize = 32 << 20;
+/// Bytes of large answers for resends that callers have not taken yet: another quarter. Callers
+/// that resend freely and read slowly would otherwise fill the memory.
+pub const SENDING_LIMIT_BYTES: usize = 32 << 20;
 
-/// Bytes of large answers that the process holds now.
-#[derive(Debug, Clone, Default)]
-pub struct HeldBytes(Rc<Cell<usize>>);
+/// Bytes held for one purpose, with their limit.
+#[derive(Debug, Clone)]
+pub struct HeldBytes {
+    used: Rc<Cell<usize>>,
+    limit_bytes: usize,
+}
 
 impl HeldBytes {
+    /// Nothing is held yet.
+    #[must_use]
+    pub fn new(limit_bytes: usize) -> Self {
+        Self {
+            used: Rc::default(),
+            limit_bytes,
+        }
+    }
+
     /// Bytes held now.
     #[must_use]
-    pub fn get(&self) -> usize {
-        self.0.get()
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// Starts to hold something that has no bytes yet.
+    pub(crate) fn share(&self) -> HeldShare {
+        HeldShare {
+            bytes: 0,
+            held: self.clone(),
+        }
+    }
+}
+
+/// Part of the bytes held; given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct HeldShare {
+    bytes: usize,
+    held: HeldBytes,
+}
+
+impl HeldShare {
+    /// Returns false if the limit does not allow it.
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let used = self.held.used() - self.bytes + bytes;
+        if used > self.held.limit_bytes {
+            return false;
+        }
+        self.held.used.set(used);
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for HeldShare {
+    fn drop(&mut self) {
+        self.held.used.set(self.held.used() - self.bytes);
     }
 }
 
@@ -26,16 +76,14 @@
 #[derive(Debug)]
 pub struct Kept {
     bytes: Vec<u8>,
-    counted: usize,
-    held: HeldBytes,
+    share: HeldShare,
 }
 
 impl Kept {
     pub(crate) fn new(held: &HeldBytes) -> Self {
         Self {
             bytes: Vec::new(),
-            counted: 0,
-            held: held.clone(),
+            share: held.share(),
         }
     }
 
@@ -48,21 +96,11 @@
     /// Adds bytes. Returns false if a limit does not allow it.
     pub(crate) fn push(&mut self, more: &[u8]) -> bool {
         let length = self.bytes.len() + more.len();
-        if length > ROW_ANSWER_LIMIT_BYTES {
-            let held = self.held.get() + length - self.counted;
-            if length > KEPT_ANSWER_LIMIT_BYTES || held > HELD_LIMIT_BYTES {
-                return false;
-            }
-            self.held.0.set(held);
-            self.counted = length;
+        let is_large = length > ROW_ANSWER_LIMIT_BYTES;
+        if is_large && (length > KEPT_ANSWER_LIMIT_BYTES || !self.share.grow_to(length)) {
+            return false;
         }
         self.bytes.extend_from_slice(more);
         true
     }
 }
-
-impl Drop for Kept {
-    fn drop(&mut self) {
-        self.held.0.set(self.held.get() - self.counted);
-    }
-}
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod requests;
 pub mod router;
 mod run;
+mod sending;
 mod submit;
 pub mod sweep;
 mod takeover;
--- a/components/request/src/outcomes.rs
+++ b/components/request/src/outcomes.rs
@@ -32,6 +32,7 @@
 use crate::requests::Requests;
 use crate::requests::Timer;
 use crate::run::Run;
+use crate::sending::no_room;
 
 /// Time after which an outcome that could not be written is written again.
 const OUTCOME_RETRY_MS: Duration = Duration::from_secs(1);
@@ -197,7 +198,12 @@
         }
         match row.state {
             ClaimState::Done | ClaimState::Unknown => {
-                let replies = replies_from(unwritten);
+                let length = unwritten.body.as_ref().map_or(0, |body| body.bytes().len());
+                let replies = if self.sending.begin(request, length) {
+                    replies_from(unwritten)
+                } else {
+                    vec![Reply::Refused(no_room().refusal(RunState::Unknown))]
+                };
                 crate::submit::reply_at_once(cx, request, submission, replies);
                 true
             }
@@ -224,6 +230,14 @@
         let requests: Vec<RequestId> = self.runs.get(&id).map_or_else(Vec::new, |run| {
             run.waiters.iter().map(|w| w.request).collect()
         });
+        let length = stored.body.len();
+        if !requests.iter().all(|id| self.sending.begin(*id, length)) {
+            for request in requests {
+                self.sending.end(request);
+            }
+            self.refuse(cx, id, &no_room());
+            return;
+        }
         for request in requests {
             for reply in stored_replies(stored) {
                 cx.actions.push(Action::Reply { request, reply });
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -16,6 +16,7 @@
 use crate::batch::Write;
 use crate::budget::RetryBudget;
 use crate::event::Event;
+use crate::kept::HELD_LIMIT_BYTES;
 use crate::kept::HeldBytes;
 use crate::objects::Objects;
 use crate::outcomes::Unwritten;
@@ -23,6 +24,7 @@
 use crate::router::Router;
 use crate::run::Phase;
 use crate::run::Run;
+use crate::sending::Sending;
 use crate::tokens::Tokens;
 
 /// What is to be done at a time.
@@ -81,6 +83,7 @@
     pub(crate) outcomes_delayed: Vec<Write>,
     pub(crate) objects: Objects,
     pub(crate) kept_bytes: HeldBytes,
+    pub(crate) sending: Sending,
     pub(crate) tokens: Tokens,
     pub(crate) entry: Incarnation,
     /// Number of the last call to the table.
@@ -111,7 +114,8 @@
             outcomes: BTreeMap::new(),
             outcomes_delayed: Vec::new(),
             objects: Objects::default(),
-            kept_bytes: HeldBytes::default(),
+            kept_bytes: HeldBytes::new(HELD_LIMIT_BYTES),
+            sending: Sending::default(),
             tokens: Tokens::new(entry, seed),
             entry,
             operations: 0,
@@ -157,8 +161,14 @@
                 submission,
                 terms,
             } => self.submitted(cx, request, submission, terms),
-            Event::CallerGone { request } => self.caller_gone(cx, request),
-            Event::Consumed { request, bytes } => self.consumed(cx, request, bytes),
+            Event::CallerGone { request } => {
+                self.sending.end(request);
+                self.caller_gone(cx, request);
+            }
+            Event::Consumed { request, bytes } => {
+                self.sending.taken(request, bytes);
+                self.consumed(cx, request, bytes);
+            }
             Event::Agent {
                 target,
                 incarnation,
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -35,6 +35,7 @@
 use crate::run::Run;
 use crate::run::Waiter;
 use crate::run::need_of;
+use crate::sending::no_room;
 
 impl Requests {
     pub(crate) fn submitted(
@@ -110,6 +111,12 @@
             refuse_at_once(cx, resend.id, submission, refusal);
             return;
         }
+        let length = run.answer.kept().map_or(0, <[u8]>::len);
+        if !self.sending.begin(resend.id, length) {
+            let refusal = no_room().refusal(RunState::Unknown);
+            refuse_at_once(cx, resend.id, submission, refusal);
+            return;
+        }
         let deadline = resend.need.deadline;
         run.need.deadline = run.need.deadline.max(deadline);
         run.waiters.push(new_waiter(cx.now, resend.id, deadline));
