--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -206,6 +206,12 @@
         result: Result<ObjectReply, PlatformError>,
         actions: &mut Vec<Action>,
     ) {
+        // One record for each outage; an answer that waits is tried again every few seconds.
+        let was_failing = std::mem::replace(&mut self.objects_failing, result.is_err());
+        if let (Err(error), false) = (&result, was_failing) {
+            let detail = error.to_string();
+            actions.push(Action::Note(Note::ObjectStoreFailed { detail }));
+        }
         match self.operations.end(operation) {
             Some((Owner::Requests, operation)) => {
                 let event = request::Event::ObjectDone { operation, result };
--- a/components/entry/src/core/note.rs
+++ b/components/entry/src/core/note.rs
@@ -94,6 +94,11 @@
         /// Why.
         detail: String,
     },
+    /// The object store did not answer, or refused a call.
+    ObjectStoreFailed {
+        /// Why.
+        detail: String,
+    },
     /// A datagram was refused.
     DatagramRefused {
         /// Why.
@@ -128,6 +133,7 @@
             Self::HostListFailed { .. } => "CS1204",
             Self::DatagramRefused { .. } => "CS1205",
             Self::PeerRefused { .. } => "CS1206",
+            Self::ObjectStoreFailed { .. } => "CS1207",
             Self::RequestSettled { .. } => "CS1301",
             Self::LeaseAcquired { .. } => "CS1401",
             Self::LeaseLost { .. } => "CS1402",
--- a/components/entry/src/daemon/log.rs
+++ b/components/entry/src/daemon/log.rs
@@ -63,6 +63,9 @@
         Note::HostListFailed { detail } => {
             warn!(logger, "host list not read"; "code" => code, "detail" => detail);
         }
+        Note::ObjectStoreFailed { detail } => {
+            warn!(logger, "object store not reached"; "code" => code, "detail" => detail);
+        }
         Note::DatagramRefused { detail } => {
             warn!(logger, "datagram refused"; "code" => code, "detail" => detail);
         }
--- a/components/request/tests/support/mod.rs
+++ b/components/request/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agents;
 pub mod ends;
+pub mod stores;
 pub mod world;
 
 use std::rc::Rc;
--- /dev/null
+++ b/components/request/tests/support/stores.rs
@@ -0,0 +1,80 @@
+//! The table and the object store, with what must hold between them.
+
+use platform::ObjectReply;
+use platform::ObjectRequest;
+use platform::PlatformError;
+use platform::TableReply;
+use platform::TableRequest;
+use request::Event;
+use request::claim::ClaimRow;
+
+use super::world::World;
+
+impl World {
+    pub fn apply(&mut self, request: &TableRequest) -> TableReply {
+        let reply = self.table.apply(request);
+        if let TableRequest::Commit(transaction) = request {
+            let values = transaction.puts.iter().filter_map(|put| put.value.as_ref());
+            let rows = values.filter_map(|value| serde_json::from_str::<ClaimRow>(value).ok());
+            for object in rows.filter_map(|row| row.object) {
+                let body = self.objects.get(&object.key);
+                if !body.is_some_and(|body| object.matches(body)) {
+                    let violation = format!("{} is named before it is stored", object.key);
+                    self.violations.push(violation);
+                }
+            }
+        }
+        reply
+    }
+
+    pub fn apply_object(&mut self, request: ObjectRequest) -> ObjectReply {
+        match request {
+            ObjectRequest::Put { key, bytes } => {
+                let before = self.objects.insert(key.clone(), bytes.clone());
+                if before.is_some_and(|before| before != bytes) {
+                    self.violations.push(format!("{key} gets other content"));
+                }
+                ObjectReply::Stored
+            }
+            ObjectRequest::Get { key } => ObjectReply::Content(self.objects.get(&key).cloned()),
+            ObjectRequest::Delete { key } => {
+                self.objects.remove(&key);
+                ObjectReply::Deleted
+            }
+        }
+    }
+
+    /// Ends a call to the object store. `way` selects how.
+    pub fn end_object_call(&mut self, entry: usize, pick: usize, way: u8) {
+        let calls = &mut self.entries[entry].object_calls;
+        if calls.is_empty() {
+            return;
+        }
+        let (operation, request) = calls.remove(pick % calls.len());
+        let unanswered = Err(PlatformError::Unanswered("lost".to_owned()));
+        let result = match way {
+            0 => Err(PlatformError::Unavailable("outage".to_owned())),
+            1 => {
+                self.apply_object(request);
+                unanswered
+            }
+            2 => {
+                self.late_objects.push(request);
+                unanswered
+            }
+            3 => Ok(cut_short(self.apply_object(request))),
+            _ => Ok(self.apply_object(request)),
+        };
+        self.event(entry, Event::ObjectDone { operation, result });
+    }
+}
+
+fn cut_short(reply: ObjectReply) -> ObjectReply {
+    match reply {
+        ObjectReply::Content(Some(mut body)) => {
+            body.truncate(body.len() / 2);
+            ObjectReply::Content(Some(body))
+        }
+        reply => reply,
+    }
+}
--- a/examples/soak/agents.rs
+++ b/examples/soak/agents.rs
@@ -285,4 +285,11 @@
         let input = Input::Agent(Event::OrderPassed(outcome));
         self.later(Duration::from_millis(1), Node::Agent(at), run, input);
     }
+
+    pub fn report_engine_state(&mut self, at: usize, run: Incarnation) {
+        let now = self.now();
+        let state = self.agents[at].target.report(now);
+        let input = Input::Agent(Event::EngineState(state));
+        self.later(Duration::from_millis(1), Node::Agent(at), run, input);
+    }
 }
