--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -29,6 +29,7 @@
 use platform::Guarded;
 use platform::HostList;
 use platform::ObjectStore;
+use platform::PlatformError;
 use platform::RateBudget;
 use platform::RetryOptions;
 use platform::SystemTimer;
@@ -66,6 +67,9 @@
 
 /// Longest silence of the object store within a call; as long as a resend waits for its answer.
 const OBJECT_ANSWER_MS: std::time::Duration = std::time::Duration::from_secs(5);
+/// Longest call to the object store: 1 MiB at 1 Mbit/s. Few calls are made at once, and a store
+/// that trickles must not hold them up for good.
+const OBJECT_CALL_MS: std::time::Duration = std::time::Duration::from_secs(10);
 
 struct Connection {
     outbox: Sender<ToAgent>,
@@ -272,7 +276,12 @@
             Action::Object { operation, request } => {
                 let daemon = self.clone();
                 self.spawn(async move {
-                    let result = objects::call(&*daemon.objects, request).await;
+                    let late = async {
+                        smol::Timer::after(OBJECT_CALL_MS).await;
+                        Err(PlatformError::Unanswered("no answer in time".to_owned()))
+                    };
+                    let call = objects::call(&*daemon.objects, request);
+                    let result = smol::future::or(call, late).await;
                     daemon.feed(Event::ObjectDone { operation, result });
                 });
             }
