--- a/components/request/src/kept.rs
+++ b/components/request/src/kept.rs
@@ -14,6 +14,9 @@
 /// that resend freely and read slowly would otherwise fill the memory.
 pub const SENDING_LIMIT_BYTES: usize = 32 << 20;
 
+/// Memory that a growing large answer takes ahead.
+const GROWTH_BYTES: usize = 64 << 10;
+
 /// Bytes held for one purpose, with their limit.
 #[derive(Debug, Clone)]
 pub struct HeldBytes {
@@ -100,6 +103,10 @@
         if is_large && (length > KEPT_ANSWER_LIMIT_BYTES || !self.share.grow_to(length)) {
             return false;
         }
+        if is_large && self.bytes.capacity() < length {
+            // Doubling would take up to twice the memory that is counted.
+            self.bytes.reserve_exact(more.len().max(GROWTH_BYTES));
+        }
         self.bytes.extend_from_slice(more);
         true
     }
