--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -89,6 +89,7 @@
     leaving_hosts: BTreeSet<HostName>,
     hosts_due: Instant,
     hosts_failing: bool,
+    objects_failing: bool,
     plans: BTreeMap<ServiceName, Plan>,
     plans_due: Instant,
     next_peer: usize,
@@ -123,6 +124,7 @@
             leaving_hosts: BTreeSet::new(),
             hosts_due: now,
             hosts_failing: false,
+            objects_failing: false,
             plans: BTreeMap::new(),
             plans_due: now,
             next_peer: 0,
@@ -213,6 +215,9 @@
             Event::TableDone { operation, result } => {
                 self.table_done(now, operation, result, &mut actions);
             }
+            Event::ObjectDone { operation, result } => {
+                self.object_done(now, operation, result, &mut actions);
+            }
             Event::Hosts(result) => self.hosts(now, result, &mut actions),
             Event::PeerAsks { peer, after } => {
                 let event = FollowerEvent::PeerAsks { peer, after };
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -15,12 +15,16 @@
 use crate::batch::Batches;
 use crate::batch::Write;
 use crate::budget::RetryBudget;
-use crate::claim::ClaimRow;
 use crate::event::Event;
+use crate::kept::HELD_LIMIT_BYTES;
+use crate::kept::HeldBytes;
+use crate::objects::Objects;
+use crate::outcomes::Unwritten;
 use crate::queue::Queue;
 use crate::router::Router;
 use crate::run::Phase;
 use crate::run::Run;
+use crate::sending::Sending;
 use crate::tokens::Tokens;
 
 /// What is to be done at a time.
@@ -46,6 +50,8 @@
     Flush,
     /// Write outcomes again that could not be written.
     Outcomes,
+    /// Store answers again that could not be stored.
+    Objects,
 }
 
 /// Queue of one profile for one service.
@@ -73,8 +79,11 @@
     pub(crate) reads_pending: Vec<RequestId>,
     pub(crate) reads: BTreeMap<u64, Vec<RequestId>>,
     /// Outcomes that are not written yet, by the key of their row.
-    pub(crate) outcomes: BTreeMap<String, ClaimRow>,
+    pub(crate) outcomes: BTreeMap<String, Unwritten>,
     pub(crate) outcomes_delayed: Vec<Write>,
+    pub(crate) objects: Objects,
+    pub(crate) kept_bytes: HeldBytes,
+    pub(crate) sending: Sending,
     pub(crate) tokens: Tokens,
     pub(crate) entry: Incarnation,
     /// Number of the last call to the table.
@@ -104,6 +113,9 @@
             reads: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcomes_delayed: Vec::new(),
+            objects: Objects::default(),
+            kept_bytes: HeldBytes::new(HELD_LIMIT_BYTES),
+            sending: Sending::default(),
             tokens: Tokens::new(entry, seed),
             entry,
             operations: 0,
@@ -149,8 +161,14 @@
                 submission,
                 terms,
             } => self.submitted(cx, request, submission, terms),
-            Event::CallerGone { request } => self.caller_gone(cx, request),
-            Event::Consumed { request, bytes } => self.consumed(cx, request, bytes),
+            Event::CallerGone { request } => {
+                self.sending.end(request);
+                self.caller_gone(cx, request);
+            }
+            Event::Consumed { request, bytes } => {
+                self.sending.taken(request, bytes);
+                self.consumed(cx, request, bytes);
+            }
             Event::Agent {
                 target,
                 incarnation,
@@ -166,6 +184,7 @@
                 incarnation,
             } => self.incarnation_gone(cx, &target, incarnation),
             Event::TableDone { operation, result } => self.table_done(cx, operation, result),
+            Event::ObjectDone { operation, result } => self.object_done(cx, operation, result),
             Event::Tick => {}
             Event::Leaving => self.leaving = true,
         }
@@ -173,6 +192,7 @@
             self.pump(cx);
         }
         self.flush_table(cx);
+        self.flush_objects(cx);
         context.actions
     }
 
@@ -228,8 +248,8 @@
                     }
                 }
                 Timer::Linger(id) => self.linger_over(cx, id),
-                // Writes that are due are committed at the end of every event.
-                Timer::Flush => {}
+                // Calls that are due are made at the end of every event.
+                Timer::Flush | Timer::Objects => {}
                 Timer::Outcomes => self.retry_outcomes(cx.now),
             }
         }
