--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -173,6 +173,12 @@
         self.requests.open()
     }
 
+    /// Pairs in the prefix-cache index.
+    #[must_use]
+    pub fn cache_hints(&self) -> usize {
+        self.router.fleet.index_len()
+    }
+
     /// When `Event::Tick` is needed next.
     #[must_use]
     pub fn next_wake(&self) -> Instant {
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod hosts;
 pub mod table;
 pub mod target;
+pub mod target_cache;
 pub mod tasks;
 
 pub use hosts::FakeHosts;
@@ -15,5 +16,7 @@
 pub use table::TablePort;
 pub use target::FakeTarget;
 pub use target::Ledger;
+pub use target_cache::CacheFaults;
+pub use target_cache::TargetCache;
 pub use tasks::Tasks;
 pub use tasks::VirtualTimer;
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -21,12 +21,15 @@
 use rand::rngs::StdRng;
 use types::AttemptId;
 use types::Incarnation;
+use types::Loaded;
 use types::Order;
 use types::OrderKind;
 use types::RequestId;
 use types::ServiceKind;
 use types::Work;
 
+use crate::target_cache::TargetCache;
+
 /// Largest part of an answer that is delivered at once.
 const PART_BYTES: usize = 600;
 /// Prompts above this take part of a second.
@@ -35,6 +38,8 @@
 const VERY_LONG_TOKENS: u32 = 8_000;
 /// A role change makes the engine away for this long.
 const CHANGE_MS: Duration = Duration::from_millis(2_500);
+/// Prompt tokens of one cache piece.
+pub const PIECE_TOKENS: u32 = 2_000;
 
 /// What all targets did.
 #[derive(Debug, Default)]
@@ -71,6 +76,19 @@
     answer
 }
 
+/// End of an engine's answer, which states what it used.
+#[must_use]
+pub fn usage_of(work: &Work, cached_pieces: u32) -> String {
+    let cached = cached_pieces
+        .saturating_mul(PIECE_TOKENS)
+        .min(work.prompt_tokens);
+    format!(
+        "{{\"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{},\
+         \"prompt_tokens_details\":{{\"cached_tokens\":{cached}}}}}}}",
+        work.prompt_tokens, work.max_output_tokens
+    )
+}
+
 struct Run {
     answer: Vec<u8>,
     position: usize,
@@ -83,12 +101,16 @@
     pub kind: ServiceKind,
     /// Refuses orders with an old fencing number.
     pub honours_fencing: bool,
+    /// Prefix cache, with its events.
+    pub cache: TargetCache,
     ledger: Rc<RefCell<Ledger>>,
     random: StdRng,
     base: EngineState,
     state: EngineState,
     away_until: Option<Instant>,
     down: bool,
+    /// It restarted since its last order, so it may serve what nobody ordered last.
+    restarted: bool,
     /// Last order that the engine remembers.
     highest: Option<Order>,
     /// Last order obeyed, also across restarts of the engine.
@@ -109,12 +131,14 @@
         Self {
             kind,
             honours_fencing,
+            cache: TargetCache::new(seed ^ 1),
             ledger,
             random: StdRng::seed_from_u64(seed),
             state: base.clone(),
             base,
             away_until: None,
             down: false,
+            restarted: true,
             highest: None,
             obeyed: None,
             runs: BTreeMap::new(),
@@ -133,6 +157,27 @@
         self.away_until.is_some_and(|until| now < until)
     }
 
+    /// Takes work at this moment.
+    #[must_use]
+    pub fn is_serving(&self, now: Instant) -> bool {
+        !self.down && !self.is_changing(now)
+    }
+
+    /// It restarted, or was replaced, and has obeyed no order since.
+    #[must_use]
+    pub fn is_restarted(&self) -> bool {
+        self.restarted
+    }
+
+    /// Whether it has what an attempt needs; empty fields ask for nothing.
+    #[must_use]
+    pub fn holds(&self, needs: &Loaded) -> bool {
+        let loaded = &self.state.loaded;
+        (needs.model.is_empty() || needs.model == loaded.model)
+            && (needs.version.is_empty() || needs.version == loaded.version)
+            && needs.adapters.iter().all(|a| loaded.adapters.contains(a))
+    }
+
     /// Starts a run; returns its first event and when the agent gets it.
     pub fn start(
         &mut self,
@@ -142,7 +187,7 @@
         attempt: AttemptId,
         work: &Work,
     ) -> (Duration, Event) {
-        if self.down || self.is_changing(now) {
+        if !self.is_serving(now) {
             let event = TargetEvent::Failed {
                 sent: false,
                 detail: "connection refused".to_owned(),
@@ -159,7 +204,11 @@
         } else {
             self.random.random_range(10..60)
         };
-        let answer = answer_to(&work.body, number, sampled);
+        let mut answer = answer_to(&work.body, number, sampled);
+        if self.kind == ServiceKind::Model {
+            let cached = self.cache.process(now, &work.prefixes);
+            answer.extend_from_slice(usage_of(work, cached).as_bytes());
+        }
         self.runs.insert(
             (agent, run),
             Run {
@@ -217,6 +266,7 @@
     pub fn crash(&mut self) -> Vec<(Incarnation, Event)> {
         self.down = true;
         self.away_until = None;
+        self.cache.clear();
         let runs = std::mem::take(&mut self.runs);
         runs.into_keys()
             .map(|(agent, run)| {
@@ -232,6 +282,7 @@
     /// Starts again with what it is configured to load.
     pub fn restart(&mut self) {
         self.down = false;
+        self.restarted = true;
         self.state = self.base.clone();
         self.highest = None;
     }
@@ -259,7 +310,7 @@
             age_ms: 500,
             prefill_backlog_tokens: running * 200,
             decode_backlog_tokens: running * 50,
-            cache_used_permille: 0,
+            cache_used_permille: self.cache.used_permille(),
         })
     }
 
@@ -329,6 +380,7 @@
             OrderKind::Drain | OrderKind::Replace | OrderKind::Withdraw | OrderKind::Resume => {}
         }
         self.state.number = order.number;
+        self.restarted = false;
         self.away_until = Some(now + CHANGE_MS);
     }
 }
--- a/examples/soak/agents.rs
+++ b/examples/soak/agents.rs
@@ -53,6 +53,8 @@
     pub undisturbed: Instant,
     /// Since when the host list calls the host leaving.
     pub listed_leaving: Option<Instant>,
+    /// The run was started under the name of a withdrawn target.
+    pub reused: bool,
 }
 
 impl AgentHost {
@@ -73,6 +75,7 @@
             accepted: HashSet::new(),
             undisturbed: Instant::now(),
             listed_leaving: None,
+            reused: false,
         }
     }
 
@@ -91,6 +94,7 @@
 
 impl World {
     pub fn start_agent(&mut self, at: usize) {
+        self.take_new_name(at);
         let incarnation = self.fresh();
         let cut: Rc<Cell<bool>> = Rc::default();
         let table = self.guarded(cut.clone());
@@ -174,6 +178,10 @@
                     && self.agents[at].accepted.insert(*attempt)
                 {
                     self.check_new_work(at);
+                    self.check_reused(at);
+                }
+                if let ToEntry::Rejected { reason, .. } = &message {
+                    self.note_rejection(*reason);
                 }
                 let index = usize::try_from(connection).unwrap_or(usize::MAX);
                 self.send_frame(index, Frame::ToEntry(message), false);
@@ -189,6 +197,7 @@
                 work,
                 ..
             } => {
+                self.check_fit(at, run, attempt);
                 let target = &mut self.agents[at].target;
                 let (delay, event) = target.start(now, run, number, attempt, &work);
                 self.ran(&work.body);
@@ -209,7 +218,10 @@
                     self.later(Duration::from_millis(2), node, run, input);
                 }
             }
-            Action::ReadCacheEvents { .. } => {}
+            Action::ReadCacheEvents { after } => {
+                let events = self.agents[at].target.cache.read(now, after);
+                self.cache_events_read(at, run, events);
+            }
             Action::PassOrder(order) => {
                 let slow = self.chance(200);
                 let delay = if slow {
--- a/examples/soak/facts.rs
+++ b/examples/soak/facts.rs
@@ -20,6 +20,8 @@
 use types::Target;
 use types::TargetName;
 
+use crate::roles::RoleChanges;
+
 /// Facts about committed transactions.
 #[derive(Default)]
 pub struct Facts {
@@ -29,6 +31,8 @@
     pub orders: HashMap<(TargetName, u64), Order>,
     /// Lease at the moment of each order.
     order_leases: HashMap<(TargetName, u64), LeaseRow>,
+    /// Role changes that planners ordered.
+    pub roles: RoleChanges,
     /// Planned orders that were accepted and checked.
     pub planned_checks: u64,
     /// Since when targets take no new work.
@@ -62,6 +66,11 @@
                 if let Ok(target) = serde_json::from_str::<Versioned<Target>>(value) {
                     self.target(now, &target.value);
                 }
+            } else if put.key.starts_with(keys::LOG) {
+                if let Ok(change) = serde_json::from_str::<Change>(value) {
+                    let fault = self.roles.change(now, rows, &change);
+                    self.violations.extend(fault);
+                }
             } else if put.key.starts_with(keys::LEASE)
                 && let Ok(lease) = serde_json::from_str::<LeaseRow>(value)
             {
@@ -117,6 +126,7 @@
             .get(&keys::target(&order.target))
             .and_then(|row| serde_json::from_str(&row.value).ok());
         let lease: Option<LeaseRow> = target
+            .as_ref()
             .and_then(|target| rows.get(&keys::lease(&target.value.service)))
             .and_then(|row| serde_json::from_str(&row.value).ok());
         let fencing = lease.map_or(0, |lease| lease.fencing);
@@ -133,6 +143,15 @@
             .filter(|(target, _)| *target == order.target)
             .map(|(_, number)| *number)
             .max();
+        // Nothing here supersedes an order, so the one before has been executed.
+        let applied = target.as_ref().map_or(0, |target| target.value.applied);
+        if last.is_some_and(|last| last > applied) {
+            self.violations.push(format!(
+                "invariant 1: order {} to {} was accepted while order {last:?} was outstanding, \
+                 the target has executed {applied}",
+                order.number, order.target
+            ));
+        }
         if last.is_some_and(|last| order.number <= last) {
             self.violations.push(format!(
                 "invariant 1: order {} to {} was accepted after order {last:?}",
@@ -152,6 +171,7 @@
     }
 
     fn target(&mut self, now: Instant, target: &Target) {
+        self.roles.target(now, target);
         let host = self.hosts.insert(target.name.clone(), target.host.clone());
         let moved = host.is_some_and(|host| host != target.host);
         if !target.state.accepts_work() {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -10,18 +10,26 @@
 //! seed and the trace are printed and the exit code is 1.
 
 mod agents;
+mod cache;
 mod callers;
 mod checks;
 mod entries;
 mod facts;
 mod faults;
+mod mix;
 mod net;
 mod planned;
 mod queue;
+mod races;
 mod repair;
 mod replies;
+mod roles;
+mod rollout;
 mod setup;
+mod wakes;
+mod withdrawal;
 mod world;
+mod wrong;
 
 use std::process::ExitCode;
 
--- a/examples/soak/repair.rs
+++ b/examples/soak/repair.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use fakes::CacheFaults;
 use fakes::TableFaults;
 use types::Incarnation;
 use types::OrderKind;
 
+use crate::rollout::Stage;
 use crate::setup::ENTRIES;
 use crate::setup::TARGETS;
 use crate::world::Happening;
@@ -24,6 +26,9 @@
     Replace(usize),
     Resume(usize),
     Plan(usize, Incarnation),
+    Withdraw(usize),
+    RollOut(Stage),
+    Cache(usize),
 }
 
 impl World {
@@ -64,6 +69,9 @@
                     self.plan(at);
                 }
             }
+            Repair::Withdraw(at) => self.end_withdrawal(at),
+            Repair::RollOut(stage) => self.roll_on(stage),
+            Repair::Cache(at) => self.agents[at].target.cache.faults = CacheFaults::default(),
             Repair::Resume(at) => {
                 self.planned.remove(&at);
                 self.order(at, OrderKind::Resume);
@@ -97,7 +105,10 @@
             self.repair(Repair::Engine(at));
             self.repair(Repair::Agent(at));
             self.repair(Repair::HostList(at));
+            self.repair(Repair::Cache(at));
+            self.end_withdrawal(at);
         }
+        self.settle_profile();
         // Operators put back what they drained; this is no repair of a fault.
         let leaving: Vec<usize> = {
             let facts = self.facts.borrow();
--- a/examples/soak/setup.rs
+++ b/examples/soak/setup.rs
@@ -41,6 +41,10 @@
 pub const PLAIN_SERVICE: &str = "mesa-refugios";
 pub const MODEL_PROFILE: &str = "bitacora";
 pub const PLAIN_PROFILE: &str = "mesa";
+/// Pairs in the prefix-cache index of an entry; few enough that the bound is reached.
+pub const INDEX_LIMIT: usize = 300;
+/// Weight of a role change; low, so that roles change often.
+const ROLE_CHANGE_WEIGHT: f64 = 0.2;
 /// Deadline of both profiles.
 pub const DEADLINE_MS: Duration = Duration::from_secs(10);
 
@@ -63,10 +67,21 @@
     entry.map(Node::Entry).or(agent.map(Node::Agent))
 }
 
+/// Names of the targets at the start.
+pub fn names() -> Vec<String> {
+    let name = |at| {
+        let kind = if at < ENGINES { "engine" } else { "plain" };
+        format!("{kind}-{at}")
+    };
+    (0..TARGETS).map(name).collect()
+}
+
 pub fn core_options(at: usize) -> CoreOptions {
+    let mut routing = routing::Settings::new("bolson-centro");
+    routing.index_limit = INDEX_LIMIT;
     CoreOptions {
         name: format!("entry-{at}"),
-        routing: routing::Settings::new("bolson-centro"),
+        routing,
         follower: control::FollowerOptions::default(),
         links: LinkTimes::default(),
         share_targets: 64,
@@ -87,6 +102,7 @@
         model: "m1".to_owned(),
         version: "1".to_owned(),
         deadline_ms: DEADLINE_MS,
+        role_change_weight: ROLE_CHANGE_WEIGHT,
         ..Profile::default()
     }
 }
@@ -123,7 +139,7 @@
 
     pub fn new_agent_host(&mut self, at: usize, generation: u64) -> AgentHost {
         let is_model = at < ENGINES;
-        let (name, kind, base) = if is_model {
+        let (kind, base) = if is_model {
             let loaded = Loaded {
                 model: "m1".to_owned(),
                 version: "1".to_owned(),
@@ -135,14 +151,15 @@
                 away: false,
                 number: 0,
             };
-            (format!("engine-{at}"), ServiceKind::Model, state)
+            (ServiceKind::Model, state)
         } else {
             let state = EngineState::default();
-            (format!("plain-{at}"), ServiceKind::Plain, state)
+            (ServiceKind::Plain, state)
         };
         let honours_fencing = at.is_multiple_of(2);
         let seed = self.fresh();
         let target = FakeTarget::new(kind, honours_fencing, base, self.ledger.clone(), seed);
+        let name = self.names[at].clone();
         AgentHost::new(name, format!("host-{at}-{generation}"), generation, target)
     }
 
