--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -257,6 +257,7 @@
                 "executed": self.role_changes_executed(),
                 "checked_for_last_of_class": facts.roles.checked,
             },
+            "withdrawn_rows_checked": facts.withdrawn_checks,
             "conflicting_orders": self.conflicting_orders(),
             "planned_orders_accepted": facts.planned_checks,
             "commands_done": facts.commands_done,
--- a/examples/soak/facts.rs
+++ b/examples/soak/facts.rs
@@ -15,10 +15,12 @@
 use types::Change;
 use types::ChangeBody;
 use types::HostName;
+use types::Incarnation;
 use types::Order;
 use types::OrderKind;
 use types::Target;
 use types::TargetName;
+use types::TargetState;
 
 use crate::roles::RoleChanges;
 
@@ -38,6 +40,10 @@
     /// Since when targets take no new work.
     pub leaving: BTreeMap<TargetName, Instant>,
     hosts: BTreeMap<TargetName, HostName>,
+    /// Runs that held a target when it was withdrawn; 0 after it was given back.
+    withdrawn: BTreeMap<TargetName, Incarnation>,
+    /// Rows of withdrawn targets that were written and checked.
+    pub withdrawn_checks: u64,
     /// Orders accepted and checked.
     pub order_checks: u64,
     /// Commands of operators that were carried out.
@@ -172,6 +178,7 @@
 
     fn target(&mut self, now: Instant, target: &Target) {
         self.roles.target(now, target);
+        self.check_withdrawn(target);
         let host = self.hosts.insert(target.name.clone(), target.host.clone());
         let moved = host.is_some_and(|host| host != target.host);
         if !target.state.accepts_work() {
@@ -184,6 +191,24 @@
         }
     }
 
+    /// A withdrawn name is never registered again.
+    fn check_withdrawn(&mut self, target: &Target) {
+        let run = target.incarnation;
+        let holder = self.withdrawn.get(&target.name).copied();
+        if holder.is_none() && target.state != TargetState::Withdrawn {
+            return;
+        }
+        self.withdrawn_checks += 1;
+        self.withdrawn.insert(target.name.clone(), run);
+        let is_same_run = holder.is_none_or(|holder| run == holder || run == 0);
+        if !is_same_run || target.state != TargetState::Withdrawn {
+            self.violations.push(format!(
+                "invariant 7: {} was withdrawn and is registered by run {run:x} as {:?}",
+                target.name, target.state
+            ));
+        }
+    }
+
     /// Latest revision that was accepted at least `age` ago.
     pub fn revision_aged(&self, now: Instant, age: Duration) -> u64 {
         let is_old = |since: Instant| now.saturating_duration_since(since) >= age;
