--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod objects;
 pub mod table;
 pub mod target;
+pub mod target_cache;
 pub mod tasks;
 
 pub use hosts::FakeHosts;
@@ -18,5 +19,7 @@
 pub use table::TablePort;
 pub use target::FakeTarget;
 pub use target::Ledger;
+pub use target_cache::CacheFaults;
+pub use target_cache::TargetCache;
 pub use tasks::Tasks;
 pub use tasks::VirtualTimer;
--- a/examples/soak/facts.rs
+++ b/examples/soak/facts.rs
@@ -15,10 +15,14 @@
 use types::Change;
 use types::ChangeBody;
 use types::HostName;
+use types::Incarnation;
 use types::Order;
 use types::OrderKind;
 use types::Target;
 use types::TargetName;
+use types::TargetState;
+
+use crate::roles::RoleChanges;
 
 /// Facts about committed transactions.
 #[derive(Default)]
@@ -29,11 +33,17 @@
     pub orders: HashMap<(TargetName, u64), Order>,
     /// Lease at the moment of each order.
     order_leases: HashMap<(TargetName, u64), LeaseRow>,
+    /// Role changes that planners ordered.
+    pub roles: RoleChanges,
     /// Planned orders that were accepted and checked.
     pub planned_checks: u64,
     /// Since when targets take no new work.
     pub leaving: BTreeMap<TargetName, Instant>,
     hosts: BTreeMap<TargetName, HostName>,
+    /// Runs that held a target when it was withdrawn; 0 after it was given back.
+    withdrawn: BTreeMap<TargetName, Incarnation>,
+    /// Rows of withdrawn targets that were written and checked.
+    pub withdrawn_checks: u64,
     /// Orders accepted and checked.
     pub order_checks: u64,
     /// Commands of operators that were carried out.
@@ -62,6 +72,11 @@
                 if let Ok(target) = serde_json::from_str::<Versioned<Target>>(value) {
                     self.target(now, &target.value);
                 }
+            } else if put.key.starts_with(keys::LOG) {
+                if let Ok(change) = serde_json::from_str::<Change>(value) {
+                    let fault = self.roles.change(now, rows, &change);
+                    self.violations.extend(fault);
+                }
             } else if put.key.starts_with(keys::LEASE)
                 && let Ok(lease) = serde_json::from_str::<LeaseRow>(value)
             {
@@ -117,6 +132,7 @@
             .get(&keys::target(&order.target))
             .and_then(|row| serde_json::from_str(&row.value).ok());
         let lease: Option<LeaseRow> = target
+            .as_ref()
             .and_then(|target| rows.get(&keys::lease(&target.value.service)))
             .and_then(|row| serde_json::from_str(&row.value).ok());
         let fencing = lease.map_or(0, |lease| lease.fencing);
@@ -133,6 +149,15 @@
             .filter(|(target, _)| *target == order.target)
             .map(|(_, number)| *number)
             .max();
+        // Nothing here supersedes an order, so the one before has been executed.
+        let applied = target.as_ref().map_or(0, |target| target.value.applied);
+        if last.is_some_and(|last| last > applied) {
+            self.violations.push(format!(
+                "invariant 1: order {} to {} was accepted while order {last:?} was outstanding, \
+                 the target has executed {applied}",
+                order.number, order.target
+            ));
+        }
         if last.is_some_and(|last| order.number <= last) {
             self.violations.push(format!(
                 "invariant 1: order {} to {} was accepted after order {last:?}",
@@ -152,6 +177,8 @@
     }
 
     fn target(&mut self, now: Instant, target: &Target) {
+        self.roles.target(now, target);
+        self.check_withdrawn(target);
         let host = self.hosts.insert(target.name.clone(), target.host.clone());
         let moved = host.is_some_and(|host| host != target.host);
         if !target.state.accepts_work() {
@@ -164,6 +191,24 @@
         }
     }
 
+    /// A withdrawn name is never registered again.
+    fn check_withdrawn(&mut self, target: &Target) {
+        let run = target.incarnation;
+        let holder = self.withdrawn.get(&target.name).copied();
+        if holder.is_none() && target.state != TargetState::Withdrawn {
+            return;
+        }
+        self.withdrawn_checks += 1;
+        self.withdrawn.insert(target.name.clone(), run);
+        let is_same_run = holder.is_none_or(|holder| run == holder || run == 0);
+        if !is_same_run || target.state != TargetState::Withdrawn {
+            self.violations.push(format!(
+                "invariant 7: {} was withdrawn and is registered by run {run:x} as {:?}",
+                target.name, target.state
+            ));
+        }
+    }
+
     /// Latest revision that was accepted at least `age` ago.
     pub fn revision_aged(&self, now: Instant, age: Duration) -> u64 {
         let is_old = |since: Instant| now.saturating_duration_since(since) >= age;
