--- a/components/entry/src/core/report.rs
+++ b/components/entry/src/core/report.rs
@@ -125,6 +125,7 @@
             max_output_tokens: SAMPLE_OUTPUT_TOKENS,
             prefixes: Vec::new(),
             deadline: now + terms.profile.deadline_ms,
+            wanted_by: None,
             concurrency_limit: terms.profile.concurrency_limit,
             cache_affinity: terms.profile.cache_affinity,
         };
--- a/components/entry/src/core/router.rs
+++ b/components/entry/src/core/router.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use planner::Decision;
 use planner::Ended;
+use planner::Job;
 use planner::Planner;
 use request::Choice;
 use request::Need;
@@ -76,9 +78,8 @@
         if matches!(choice, Choice::Infeasible { .. })
             && let Some(seat) = self.seats.get_mut(&need.service)
         {
-            let size = self.fleet.size_for(need);
-            seat.planner
-                .refused(now, size.prefill_tokens, size.decode_tokens);
+            let job = Job::new(self.fleet.size_for(need), within(now, need));
+            seat.planner.refused(now, &job);
         }
         choice
     }
@@ -98,8 +99,8 @@
         }
         if let Some(seat) = self.seats.get_mut(&need.service) {
             seat.in_flight += 1;
-            seat.planner
-                .dispatched(now, attempt, size.prefill_tokens, size.decode_tokens);
+            let job = Job::new(size, within(now, need));
+            seat.planner.dispatched(now, attempt, &job);
             self.attempts.insert(attempt, need.service.clone());
         }
     }
@@ -126,3 +127,9 @@
         }
     }
 }
+
+/// Time for which the caller is expected to wait.
+fn within(now: Instant, need: &Need) -> Duration {
+    let until = need.wanted_by.unwrap_or(need.deadline).min(need.deadline);
+    until.saturating_duration_since(now)
+}
--- a/components/planner/src/fluid.rs
+++ b/components/planner/src/fluid.rs
@@ -4,6 +4,7 @@
 use types::Role;
 
 use crate::mix::Demand;
+use crate::mix::Rate;
 
 /// Roles in the order of the arrays of this crate.
 pub const ROLES: [Role; 3] = [Role::Prefill, Role::Mixed, Role::Decode];
@@ -76,6 +77,17 @@
         low
     }
 
+    /// Share of the urgent work that the engines outside the role prefill can carry, at most 1.
+    #[must_use]
+    pub fn urgent_share(&self, urgent: &Rate, rates: &[RoleRates; 3]) -> f64 {
+        let carried: f64 = [Role::Mixed, Role::Decode]
+            .into_iter()
+            .map(Self::position)
+            .map(|at| f64::from(self.0[at]) / urgent.engine_time(&rates[at]).max(1e-12))
+            .sum();
+        carried.min(1.0)
+    }
+
     fn carries(&self, multiple: f64, costs: &[(f64, f64); 3], order: [usize; 3]) -> bool {
         // Parts of each class that still have to be placed.
         let (mut prefill, mut decode) = (multiple, multiple);
--- a/components/planner/src/mix.rs
+++ b/components/planner/src/mix.rs
@@ -18,24 +18,56 @@
     pub decode: f64,
 }
 
+/// Least share of urgent work in the output of the decode class that is noticed.
+const URGENT_SHARE: f64 = 0.1;
+
+/// Class of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// Prefill takes longer.
+    Prefill,
+    /// Decode takes longer.
+    Decode,
+    /// The output would come too late at the pace of a busy prefill engine.
+    Urgent,
+}
+
 /// Token rates by class.
 #[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize)]
 pub struct Demand {
     /// Requests whose prefill takes longer.
     pub prefill_class: Rate,
-    /// Requests whose decode takes longer.
+    /// Requests whose decode takes longer, and urgent ones.
     pub decode_class: Rate,
+    /// Part of the decode class that is too urgent for a busy prefill engine.
+    pub urgent: Rate,
 }
 
 impl Demand {
     /// Engine time per second in a role, for the prefill and the decode class.
     #[must_use]
     pub fn engine_time(&self, rates: &RoleRates) -> (f64, f64) {
-        let time = |rate: &Rate| {
-            let (prefill_ms, decode_ms) = token_ms(rates);
-            (rate.prefill * prefill_ms + rate.decode * decode_ms) / 1e3
-        };
-        (time(&self.prefill_class), time(&self.decode_class))
+        let (prefill, decode) = (&self.prefill_class, &self.decode_class);
+        (prefill.engine_time(rates), decode.engine_time(rates))
+    }
+
+    /// The decode class if urgent work is a part of it, because it shares engines and so delays it.
+    #[must_use]
+    pub fn beside_urgent(&self) -> Rate {
+        if self.urgent.decode > URGENT_SHARE * self.decode_class.decode {
+            self.decode_class
+        } else {
+            Rate::default()
+        }
+    }
+}
+
+impl Rate {
+    /// Engine time per second in a role.
+    #[must_use]
+    pub fn engine_time(&self, rates: &RoleRates) -> f64 {
+        let (prefill_ms, decode_ms) = token_ms(rates);
+        (self.prefill * prefill_ms + self.decode * decode_ms) / 1e3
     }
 }
 
@@ -52,7 +84,7 @@
 #[derive(Debug, Clone)]
 struct Decaying {
     constant_s: f64,
-    sums: [f64; 4],
+    sums: [f64; 6],
     elapsed_s: f64,
 }
 
@@ -60,7 +92,7 @@
     fn new(constant: Duration) -> Self {
         Self {
             constant_s: constant.as_secs_f64(),
-            sums: [0.0; 4],
+            sums: [0.0; 6],
             elapsed_s: 0.0,
         }
     }
@@ -81,6 +113,7 @@
         Demand {
             prefill_class: rate(0),
             decode_class: rate(2),
+            urgent: rate(4),
         }
     }
 }
@@ -106,20 +139,30 @@
         }
     }
 
-    /// Whether the request belongs to the prefill class.
+    /// The class of a request by its token-time.
     #[must_use]
-    pub fn is_prefill(&self, prefill_tokens: f64, decode_tokens: f64) -> bool {
+    pub fn class(&self, prefill_tokens: f64, decode_tokens: f64) -> Class {
         let (prefill_ms, decode_ms) = token_ms(&self.rates);
-        prefill_tokens * prefill_ms > decode_tokens * decode_ms
+        if prefill_tokens * prefill_ms > decode_tokens * decode_ms {
+            Class::Prefill
+        } else {
+            Class::Decode
+        }
     }
 
     /// Adds a request to a class; negative figures take back what was expected too much.
-    pub fn add(&mut self, now: Instant, prefill_class: bool, prefill: f64, decode: f64) {
+    pub fn add(&mut self, now: Instant, class: Class, prefill: f64, decode: f64) {
         self.advance(now);
-        let at = if prefill_class { 0 } else { 2 };
+        let positions: &[usize] = match class {
+            Class::Prefill => &[0],
+            Class::Decode => &[2],
+            Class::Urgent => &[2, 4],
+        };
         for estimate in [&mut self.fast, &mut self.slow] {
-            estimate.sums[at] += prefill;
-            estimate.sums[at + 1] += decode;
+            for at in positions {
+                estimate.sums[*at] += prefill;
+                estimate.sums[at + 1] += decode;
+            }
         }
     }
 
--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -1,8 +1,10 @@
 //! The planner of one service.
 
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
+use routing::Size;
 use routing::TargetView;
 use types::AttemptId;
 use types::Role;
@@ -16,6 +18,7 @@
 use crate::fluid::Roles;
 use crate::measure::Best;
 use crate::measure::Shift;
+use crate::mix::Class;
 use crate::mix::Mix;
 use crate::settings::Settings;
 use crate::targets::Availability;
@@ -28,11 +31,34 @@
 /// What an attempt in flight was counted as.
 #[derive(Debug, Clone, Copy)]
 struct Counted {
-    prefill_class: bool,
+    class: Class,
     prefill: f64,
     decode: f64,
 }
 
+/// What a request asks of an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Job {
+    /// Prompt tokens that are not expected in the prefix cache.
+    pub prefill_tokens: f64,
+    /// Output tokens expected.
+    pub decode_tokens: f64,
+    /// Time for which its caller is expected to wait.
+    pub within_ms: Duration,
+}
+
+impl Job {
+    /// A request of a size known to routing.
+    #[must_use]
+    pub fn new(size: Size, within_ms: Duration) -> Self {
+        Self {
+            prefill_tokens: size.prefill_tokens,
+            decode_tokens: size.decode_tokens,
+            within_ms,
+        }
+    }
+}
+
 /// How an attempt ended, as far as it concerns the demand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -82,14 +108,15 @@
         }
     }
 
-    /// An attempt was dispatched; `prefill` excludes what is expected in the prefix cache.
-    pub fn dispatched(&mut self, now: Instant, attempt: AttemptId, prefill: f64, decode: f64) {
+    /// An attempt was dispatched.
+    pub fn dispatched(&mut self, now: Instant, attempt: AttemptId, job: &Job) {
+        let (prefill, decode) = (job.prefill_tokens, job.decode_tokens);
         let counted = Counted {
-            prefill_class: self.mix.is_prefill(prefill, decode),
+            class: self.class(job),
             prefill,
             decode,
         };
-        self.mix.add(now, counted.prefill_class, prefill, decode);
+        self.mix.add(now, counted.class, prefill, decode);
         self.counted.insert(attempt, counted);
     }
 
@@ -106,7 +133,7 @@
             Ended::TriedAgain => (0.0, 0.0),
             Ended::Unserved => return,
         };
-        let class = counted.prefill_class;
+        let class = counted.class;
         self.mix.add(
             now,
             class,
@@ -117,9 +144,23 @@
 
     /// A request was refused for lack of capacity. It is part of the demand; without it, a service
     /// in the wrong roles would look as if it had capacity to spare.
-    pub fn refused(&mut self, now: Instant, prefill: f64, decode: f64) {
-        let class = self.mix.is_prefill(prefill, decode);
-        self.mix.add(now, class, prefill, decode);
+    pub fn refused(&mut self, now: Instant, job: &Job) {
+        let class = self.class(job);
+        self.mix
+            .add(now, class, job.prefill_tokens, job.decode_tokens);
+    }
+
+    /// The class of a request. One whose output would come too late at the pace of a full prefill
+    /// engine is urgent, however long its prompt takes.
+    fn class(&self, job: &Job) -> Class {
+        let rates = &self.settings.rates[Roles::position(Role::Prefill)];
+        let step_ms = rates.step_ms
+            + rates.stream_ms * f64::from(rates.slots)
+            + rates.prefill_ms_per_token * f64::from(rates.chunk_tokens);
+        if job.decode_tokens * step_ms > job.within_ms.as_secs_f64() * 1e3 {
+            return Class::Urgent;
+        }
+        self.mix.class(job.prefill_tokens, job.decode_tokens)
     }
 
     /// The order of the last change could not be written.
--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -49,22 +49,22 @@
                 continue;
             };
             let queue = self.queues.get_mut(&key);
-            let wanted_by = queue.filter(|_| run.idempotent).map(|queue| {
-                let deadline = run.need.deadline;
-                queue.wanted_by(cx.now, run.accepted, deadline)
+            let limits = queue.filter(|_| run.idempotent).map(|queue| {
+                let deadline = queue.wanted_by(cx.now, run.accepted, run.need.deadline);
+                (deadline, queue.waits_until(cx.now, run.accepted))
             });
-            let choice = match wanted_by.filter(|wanted_by| *wanted_by < run.need.deadline) {
-                Some(deadline) => {
-                    let need = Need {
-                        deadline,
-                        ..run.need.clone()
-                    };
-                    cx.router.choose(cx.now, &need, &run.tried)
-                }
-                None => cx.router.choose(cx.now, &run.need, &run.tried),
+            let (deadline, wanted_by) = limits.unwrap_or((run.need.deadline, None));
+            let choice = if deadline < run.need.deadline || wanted_by.is_some() {
+                let need = Need {
+                    deadline,
+                    wanted_by,
+                    ..run.need.clone()
+                };
+                cx.router.choose(cx.now, &need, &run.tried)
+            } else {
+                cx.router.choose(cx.now, &run.need, &run.tried)
             };
-            let left = wanted_by.unwrap_or(run.need.deadline);
-            let left = left.saturating_duration_since(cx.now);
+            let left = deadline.saturating_duration_since(cx.now);
             match choice {
                 Choice::Target {
                     target,
--- a/components/request/src/patience.rs
+++ b/components/request/src/patience.rs
@@ -55,9 +55,18 @@
     /// Time by which answers are wanted, somewhat before most callers hang up; `None` if that is not known or most wait on.
     #[must_use]
     pub fn limit(&mut self, now: Instant) -> Option<Duration> {
+        self.known(now).filter(|_| self.mean_s >= MIN_LIMIT_S)
+    }
+
+    /// The same for limits that are too short to refuse by. Roles are planned with them.
+    #[must_use]
+    pub fn short(&mut self, now: Instant) -> Option<Duration> {
+        self.known(now).filter(|_| self.mean_s < MIN_LIMIT_S)
+    }
+
+    fn known(&mut self, now: Instant) -> Option<Duration> {
         self.fade(now);
         let known = self.hang_ups >= MIN_HANG_UPS && self.hang_ups > self.outlasted;
-        let known = known && self.mean_s >= MIN_LIMIT_S;
         known.then(|| Duration::from_secs_f64(self.mean_s * MARGIN))
     }
 
--- a/components/request/src/queue.rs
+++ b/components/request/src/queue.rs
@@ -141,6 +141,12 @@
         limit.map_or(deadline, |limit| deadline.min(accepted + limit))
     }
 
+    /// Time until which the caller is expected to wait, if it is known to be short.
+    #[must_use]
+    pub fn waits_until(&mut self, now: Instant, accepted: Instant) -> Option<Instant> {
+        self.patience.short(now).map(|limit| accepted + limit)
+    }
+
     /// Time by which the estimated finish of a request that joins now is past its deadline.
     ///
     /// Nothing is estimated while the queue is empty, because the router knows more then.
--- a/components/request/src/router.rs
+++ b/components/request/src/router.rs
@@ -30,6 +30,9 @@
     pub prefixes: Vec<u64>,
     /// Time by which the whole answer must be there.
     pub deadline: Instant,
+    /// Time until which the caller is expected to wait, if it is known to be short. Roles are
+    /// planned with it; the request is not refused for it.
+    pub wanted_by: Option<Instant>,
     /// Requests of this entry at one target at once, from the profile.
     pub concurrency_limit: u32,
     /// Factor on the prefill time that a cached prefix saves, from the profile.
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -136,6 +136,7 @@
         max_output_tokens: work.max_output_tokens,
         prefixes: work.prefixes.clone(),
         deadline,
+        wanted_by: None,
         concurrency_limit: terms.profile.concurrency_limit,
         cache_affinity: terms.profile.cache_affinity,
     }
--- a/components/request/tests/feasibility.rs
+++ b/components/request/tests/feasibility.rs
@@ -122,3 +122,22 @@
     let refused_later = queue.excess(now, 9, now + SECOND * 60).is_some();
     assert!(!refused && !refused_later);
 }
+
+/// Guards against planning for a patience that was not observed, and against short and long limits
+/// being acted on together.
+#[test]
+fn short_patience_is_reported_instead_of_a_limit() {
+    fn property(patience_s: u8) -> bool {
+        let now = Instant::now();
+        let mut patience = Patience::default();
+        if patience.short(now).is_some() {
+            return false;
+        }
+        for _ in 0..20 {
+            patience.hung_up(now, SECOND * u32::from(patience_s));
+        }
+        patience.short(now).is_some() == (patience_s < 10)
+            && patience.limit(now).is_some() == (patience_s >= 10)
+    }
+    seeded::check().quickcheck(property as fn(u8) -> bool);
+}
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -146,6 +146,7 @@
         max_output_tokens: 200,
         prefixes: Vec::new(),
         deadline: now + Duration::from_mins(1),
+        wanted_by: None,
         concurrency_limit: 32,
         cache_affinity: 1.0,
     }
--- a/examples/policy/admission.rs
+++ b/examples/policy/admission.rs
@@ -98,6 +98,19 @@
         self.queues[class].wanted_by(now, accepted, deadline)
     }
 
+    /// Time until which the caller of a class is expected to wait, if it is known to be short.
+    pub fn waits_until(
+        &mut self,
+        now: Instant,
+        class: usize,
+        accepted: Instant,
+    ) -> Option<Instant> {
+        if self.without_hang_ups {
+            return None;
+        }
+        self.queues[class].waits_until(now, accepted)
+    }
+
     pub fn remove(&mut self, now: Instant, call: usize, class: usize) {
         self.queues[class].remove(now, call as RequestId);
     }
--- a/examples/policy/world/calls.rs
+++ b/examples/policy/world/calls.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use planner::Ended;
+use planner::Job;
 use rand::RngExt;
 use request::Choice;
 use request::Need;
@@ -57,6 +58,7 @@
         let wanted_by = self.wanted_by(call);
         let need = Need {
             deadline: wanted_by,
+            wanted_by: self.waits_until(call),
             ..self.need(call)
         };
         let now = self.instant();
@@ -116,11 +118,13 @@
             match &mut self.roleplan {
                 Roleplan::None => {}
                 Roleplan::Ours(planner) => {
-                    planner.dispatched(now, attempt, size.prefill_tokens, size.decode_tokens);
+                    let until = need.wanted_by.unwrap_or(need.deadline).min(need.deadline);
+                    let job = Job::new(size, until.saturating_duration_since(now));
+                    planner.dispatched(now, attempt, &job);
                 }
                 Roleplan::Bare(bare) => {
                     let (prefill, decode) = (size.prefill_tokens, size.decode_tokens);
-                    let class = bare.mix.is_prefill(prefill, decode);
+                    let class = bare.mix.class(prefill, decode);
                     bare.mix.add(now, class, prefill, decode);
                 }
             }
@@ -222,6 +226,13 @@
         queue.wanted_by(now, class, accepted, deadline)
     }
 
+    fn waits_until(&mut self, call: usize) -> Option<std::time::Instant> {
+        let now = self.instant();
+        let (entry, class) = (self.calls[call].entry, self.calls[call].class);
+        let accepted = self.base + self.progress[call].accepted;
+        self.entries[entry].queue.waits_until(now, class, accepted)
+    }
+
     fn leave_queue(&mut self, call: usize) {
         let (now, class) = (self.instant(), self.calls[call].class);
         let entry = self.calls[call].entry;
@@ -243,6 +254,8 @@
     /// Counts a refused call as demand.
     fn count_refused(&mut self, call: usize) {
         let (now, need) = (self.instant(), self.need(call));
+        let until = self.waits_until(call).unwrap_or(need.deadline);
+        let within_ms = until.min(need.deadline).saturating_duration_since(now);
         let entry = self.calls[call].entry;
         let Routing::Ours(fleet) = &self.entries[entry].routing else {
             return;
@@ -254,9 +267,9 @@
         let (prefill, decode) = (size.prefill_tokens, size.decode_tokens);
         match &mut self.roleplan {
             Roleplan::None => {}
-            Roleplan::Ours(planner) => planner.refused(now, prefill, decode),
+            Roleplan::Ours(planner) => planner.refused(now, &Job::new(size, within_ms)),
             Roleplan::Bare(bare) => {
-                let class = bare.mix.is_prefill(prefill, decode);
+                let class = bare.mix.class(prefill, decode);
                 bare.mix.add(now, class, prefill, decode);
             }
         }
@@ -325,6 +338,7 @@
             max_output_tokens: call.max_output_tokens,
             prefixes: call.prefixes.clone(),
             deadline: self.base + call.deadline,
+            wanted_by: None,
             concurrency_limit: spec.concurrency_limit,
             cache_affinity: 1.0,
         }
