--- a/examples/policy/outcome.rs
+++ b/examples/policy/outcome.rs
@@ -30,6 +30,8 @@
     pub ends: Vec<End>,
     arrivals: Vec<Duration>,
     pub just_ended: usize,
+    /// Times from a submission to its refusal; a call that is sent again has several.
+    pub refusal_waits: Vec<Duration>,
     pub attempts: u64,
     pub resends: u64,
     pub role_changes: u32,
@@ -48,6 +50,7 @@
             ends: vec![End::default(); calls.len()],
             arrivals: calls.iter().map(|call| call.at).collect(),
             just_ended: 0,
+            refusal_waits: Vec::new(),
             attempts: 0,
             resends: 0,
             role_changes: 0,
@@ -94,6 +97,11 @@
             .filter(|end| end.outcome == Some(Outcome::Refused));
         at_quantile(refused.map(|end| end.after), quantile)
     }
+
+    /// Time from a submission to its refusal at a quantile.
+    pub fn submission_refusal_at(&self, quantile: f64) -> f64 {
+        at_quantile(self.refusal_waits.iter().copied(), quantile)
+    }
 }
 
 #[allow(
--- a/examples/policy/world/calls.rs
+++ b/examples/policy/world/calls.rs
@@ -241,6 +241,8 @@
 
     pub(super) fn refuse(&mut self, call: usize) {
         self.count_refused(call);
+        let waited = self.now.saturating_sub(self.progress[call].accepted);
+        self.record.refusal_waits.push(waited);
         if self.sub == Sub::Resends && self.progress[call].resends < RESENDS {
             self.progress[call].resends += 1;
             let resend = self.progress[call].resends;
