--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -236,7 +236,7 @@
         }
         let best = best.ok_or(Reason::NoGain)?;
         let target = self.pick(&open, best.from).ok_or(Reason::NoGain)?;
-        if is_last_of_class(&open, target, best.to) {
+        if is_last_of_class(&open, target) {
             return Err(Reason::LastOfClass {
                 target: target.name.clone(),
             });
--- a/components/planner/src/targets.rs
+++ b/components/planner/src/targets.rs
@@ -51,12 +51,13 @@
     view.standing == Standing::Open
 }
 
-/// Whether a change would leave a class without a target that is tuned for it.
-pub(crate) fn is_last_of_class(open: &[&TargetView], target: &TargetView, to: Role) -> bool {
+/// Whether a class has no other target that is tuned for it. A change to another role for the same
+/// class counts too, because the target is away until it is done.
+pub(crate) fn is_last_of_class(open: &[&TargetView], target: &TargetView) -> bool {
     let serves = |role: Role, class: Role| role == class || role == Role::Mixed;
     [Role::Prefill, Role::Decode].into_iter().any(|class| {
         let others = open.iter().filter(|view| view.name != target.name);
         let left = others.filter(|view| serves(view.role, class)).count();
-        serves(target.role, class) && !serves(to, class) && left == 0
+        serves(target.role, class) && left == 0
     })
 }
--- a/components/planner/tests/decisions.rs
+++ b/components/planner/tests/decisions.rs
@@ -129,6 +129,32 @@
         TestResult::passed()
     }
 
+    /// Guards against seconds without a target for a class while its only one changes between two
+    /// roles that both serve it.
+    fn class_has_another_target_during_a_change(roles: Vec<u8>, mixes: Vec<(u8, u8)>) -> TestResult {
+        if roles.len() > 12 {
+            return TestResult::discard();
+        }
+        let mut world = World::new(&roles);
+        world.weight = 0.1;
+        for (prefill, decode) in mixes.iter().take(8) {
+            for _ in 0..120 {
+                let verdict = world.second(share(*prefill), share(*decode)).verdict;
+                let Verdict::Change { target, from, .. } = verdict else {
+                    continue;
+                };
+                let mut others = world.views.clone();
+                others.retain(|view| view.name != target);
+                let serves_class = |class| from == class || from == Role::Mixed;
+                let classes = [Role::Prefill, Role::Decode].into_iter().filter(|class| serves_class(*class));
+                if !classes.into_iter().all(|class| serves(&others, class)) {
+                    return TestResult::failed();
+                }
+            }
+        }
+        TestResult::passed()
+    }
+
     fn changes_nothing_while_a_target_is_unavailable(which: u8, standing: u8) -> bool {
         let mut world = World::new(&[0, 1, 1, 2, 2, 2]);
         world.changes(30, 0.3, 0.4);
