--- a/components/agent/src/row.rs
+++ b/components/agent/src/row.rs
@@ -62,6 +62,8 @@
     next_operation: OperationId,
     retry_at: Option<Instant>,
     polled: Option<Instant>,
+    /// A call has failed since the rows were last read.
+    has_failed: bool,
     /// Time between two reads of the order row.
     pub poll_ms: Duration,
     first_event: Option<Instant>,
@@ -81,6 +83,7 @@
             next_operation: 1,
             retry_at: None,
             polled: None,
+            has_failed: false,
             first_event: None,
             held: None,
         }
@@ -95,7 +98,13 @@
     /// Whether the order row is due to be read.
     #[must_use]
     pub fn is_poll_due(&self, now: Instant) -> bool {
-        self.polled.is_none_or(|at| now >= at + self.poll_ms)
+        // A hint whose read has failed must not wait for the long interval.
+        let interval_ms = if self.has_failed {
+            self.poll_ms.min(self.limits.order_poll_ms)
+        } else {
+            self.poll_ms
+        };
+        self.polled.is_none_or(|at| now >= at + interval_ms)
     }
 
     /// The order row is read at the next chance.
@@ -205,10 +214,13 @@
         read.add_read(&self.write_keys()[1..], rows.to_vec());
         let order = read.get::<Order>(&keys::order(&self.limits.target));
         match (self.target_of(&read), order) {
-            (Ok(target), Ok(order)) => match self.check_holder(target) {
-                Some(other) => RowEvent::Superseded(other),
-                None => RowEvent::Polled(began, order),
-            },
+            (Ok(target), Ok(order)) => {
+                self.has_failed = false;
+                match self.check_holder(target) {
+                    Some(other) => RowEvent::Superseded(other),
+                    None => RowEvent::Polled(began, order),
+                }
+            }
             (Err(error), _) | (_, Err(error)) => {
                 self.failed(now, "read", error.to_string(), out);
                 RowEvent::None
@@ -259,6 +271,7 @@
 
     fn failed(&mut self, now: Instant, step: &'static str, detail: String, out: &mut Vec<Action>) {
         self.retry_at = Some(now + RETRY_MS);
+        self.has_failed = true;
         out.push(Action::Log(Note::TableFailed { step, detail }));
     }
 
