--- a/examples/soak/net.rs
+++ b/examples/soak/net.rs
@@ -237,12 +237,25 @@
                 self.later(delay, to, run, Input::Entry(event));
             }
             Node::Agent(at) => {
-                let (Datagram::Probe { sequence, .. }, Node::Entry(entry)) = (datagram, from)
+                let (
+                    Datagram::Probe {
+                        entry: process,
+                        sequence,
+                        head,
+                    },
+                    Node::Entry(entry),
+                ) = (datagram, from)
                 else {
                     return;
                 };
                 let run = self.agents[at].incarnation;
                 let from = entry_address(entry);
+                let watched = agent::Event::Watched {
+                    entry: process,
+                    sequence,
+                    head,
+                };
+                self.later(delay, to, run, Input::Agent(watched));
                 let event = agent::Event::Probe { from, sequence };
                 self.later(delay, to, run, Input::Agent(event));
             }
