--- a/components/agent/src/engine_view.rs
+++ b/components/agent/src/engine_view.rs
@@ -111,6 +111,10 @@
     /// Takes an answer; returns whether the engine began or ceased to answer.
     pub fn answered(&mut self, state: Option<EngineState>) -> bool {
         let changed = self.state.is_some() != state.is_some();
+        if state.is_none() {
+            // It may have restarted when it answers again, and then numbers its events anew.
+            self.cache_sequence = 0;
+        }
         self.state = state;
         self.read_began = self.reading.take();
         changed
--- a/components/agent/tests/orders/main.rs
+++ b/components/agent/tests/orders/main.rs
@@ -10,6 +10,7 @@
 use control::Versioned;
 use control::keys;
 use seeded::quickcheck;
+use types::CacheEvent;
 use types::Loaded;
 use types::OrderKind;
 use types::Role;
@@ -255,3 +256,22 @@
     }
     assert!(world.reads <= before + 3, "{}", world.reads - before);
 }
+
+/// Guards against cache events that are missed after a restart of the engine, because it numbers
+/// them from 1 again and the agent asks for those after the last number of its earlier run.
+#[test]
+fn reads_cache_events_from_the_start_after_a_restart_of_the_engine() {
+    let mut world = World::new();
+    world.wait(Duration::from_secs(1));
+    let event = CacheEvent {
+        sequence: 900,
+        prefix: 1,
+        stored: true,
+    };
+    world.event(Event::CacheEvents(vec![event]));
+    world.wait(Duration::from_secs(1));
+    assert_eq!(world.cache_after, Some(900));
+    world.crash(3_000);
+    world.wait(Duration::from_secs(6));
+    assert_eq!(world.cache_after, Some(0));
+}
--- a/components/agent/tests/orders/world.rs
+++ b/components/agent/tests/orders/world.rs
@@ -53,6 +53,8 @@
     pub requests: u64,
     /// Reads of the table so far.
     pub reads: usize,
+    /// Cache event after which the last read asked for more.
+    pub cache_after: Option<u64>,
     pub messages: Vec<ToEntry>,
     pub exit: Option<ExitReason>,
 }
@@ -89,6 +91,7 @@
             jitter: 1,
             requests: 0,
             reads: 0,
+            cache_after: None,
             messages: Vec::new(),
             exit: None,
         }
@@ -171,6 +174,7 @@
                 Action::Abort { run, .. } => {
                     self.engine.runs.remove(&run);
                 }
+                Action::ReadCacheEvents { after } => self.cache_after = Some(after),
                 Action::Send { message, .. } => self.messages.push(message),
                 Action::Exit(reason) => self.exit = Some(reason),
                 Action::PassOrder(order) => {
--- a/components/planner/src/plan.rs
+++ b/components/planner/src/plan.rs
@@ -126,6 +126,8 @@
             return;
         };
         let (prefill, decode) = match ended {
+            // What was expected stands for what is not known.
+            Ended::Answered(usage) if !usage.is_known() => return,
             Ended::Answered(usage) => {
                 let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
                 (f64::from(prefill), f64::from(usage.output_tokens))
--- a/components/planner/tests/decisions.rs
+++ b/components/planner/tests/decisions.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use planner::Decision;
+use planner::Ended;
 use planner::Job;
 use planner::Planner;
 use planner::Reason;
@@ -15,6 +16,7 @@
 use seeded::quickcheck;
 use types::AttemptId;
 use types::Role;
+use types::Usage;
 
 const ROLES: [Role; 3] = [Role::Prefill, Role::Mixed, Role::Decode];
 
@@ -294,3 +296,27 @@
     assert!(changes(Duration::from_hours(1)) > 0);
     assert_eq!(changes(Duration::from_secs(1)), 0);
 }
+
+/// Guards against a service whose engines state no usage and which therefore seems to have no
+/// demand, so that its roles never change.
+#[test]
+fn demand_stays_when_answers_state_no_usage() {
+    let world = World::new(&[0, 2, 2, 2]);
+    let mut figures = Vec::new();
+    for settles in [false, true] {
+        let mut planner = Planner::new(Settings::new(&routing::Settings::new("lago-puelo")));
+        for request in 0..60 {
+            let attempt = AttemptId { request, number: 1 };
+            let job = job(4_000.0, 100.0, Duration::from_mins(1));
+            let now = world.now + Duration::from_secs(1) * u32::try_from(request).unwrap();
+            planner.dispatched(now, attempt, &job);
+            if settles {
+                planner.settled(now, attempt, Ended::Answered(Usage::default()));
+            }
+        }
+        let end = world.now + Duration::from_mins(1);
+        let decision = planner.consider(end, &world.views, world.weight);
+        figures.push(decision.figures.fast);
+    }
+    assert_eq!(figures[0], figures[1]);
+}
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -337,6 +337,18 @@
     fn answered(&mut self, sent: &Sent, usage: Usage) {
         let member = &mut self.members[sent.member];
         member.ejection.succeeded();
+        if usage.is_known() {
+            self.learn(sent, usage);
+        }
+        // The engine has just processed the whole prompt, so it holds all of its pieces now.
+        for prefix in &sent.prefixes {
+            self.index.stored(*prefix, self.members[sent.member].holder);
+        }
+    }
+
+    /// Takes the tokens that an answer used into the means that estimates are made with.
+    fn learn(&mut self, sent: &Sent, usage: Usage) {
+        let member = &mut self.members[sent.member];
         if sent.max_output_tokens > 0 {
             let share = f64::from(usage.output_tokens) / f64::from(sent.max_output_tokens);
             let mean = &mut self.pools[member.pool].output_share;
@@ -348,10 +360,6 @@
             member.cache_trust += CACHE_TRUST_WEIGHT * (share - member.cache_trust);
             member.cache_trust = member.cache_trust.max(LEAST_CACHE_TRUST);
         }
-        // The engine has just processed the whole prompt, so it holds all of its pieces now.
-        for prefix in &sent.prefixes {
-            self.index.stored(*prefix, member.holder);
-        }
     }
 
     fn forget_prefixes(&mut self, sent: &Sent) {
--- a/components/routing/tests/load.rs
+++ b/components/routing/tests/load.rs
@@ -111,3 +111,23 @@
     }
     assert!(cached[19] < cached[0] / 2.0, "{cached:?}");
 }
+
+/// Guards against engines that state no usage and seem to answer without any work: estimates
+/// would become too low, and cached prefixes would count for nothing.
+#[test]
+fn answers_without_usage_teach_nothing() {
+    let mut world = World::new(1, 5);
+    let mut need = need(world.now, 20_000);
+    need.prefixes = (1..=10).map(|n| n * 7_919).collect();
+    let mut sizes = Vec::new();
+    for request in 0..20 {
+        let attempt = types::AttemptId { request, number: 1 };
+        let name = "engine-0".to_owned();
+        world.fleet.dispatched(world.now, &name, attempt, &need);
+        let settlement = Settlement::Answered(Usage::default());
+        world.fleet.settled(world.now, &name, attempt, settlement);
+        let cached = world.fleet.explain(world.now, &need)[0].cached_tokens;
+        sizes.push((world.fleet.size_for(&need).decode_tokens, cached));
+    }
+    assert_eq!(sizes[0], sizes[19]);
+}
--- a/components/types/src/reply.rs
+++ b/components/types/src/reply.rs
@@ -75,6 +75,14 @@
     pub output_tokens: u32,
 }
 
+impl Usage {
+    /// Whether the target stated it. An answer without usage has used tokens nevertheless.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        *self != Self::default()
+    }
+}
+
 /// Part of an answer, in order: one `Head`, any number of `Body`, one `End`; or one `Refused`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
