--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod forwarder;
 pub mod plain;
 pub mod platform;
+pub mod ports;
 mod turns;
--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -20,13 +20,13 @@
 use smol::Timer;
 use standin::engine::EngineOptions;
 use standin::forwarder::Link;
+use standin::ports::free_address;
 use types::OrderKind;
 use types::Profile;
 use types::Service;
 use types::ServiceKind;
 
 use crate::daemon::DAEMON;
-use crate::ports::Ports;
 use crate::process::Process;
 use crate::standins;
 
@@ -99,29 +99,27 @@
         let name = format!("chervilspool-testbed-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).wrap_err("cannot make a folder for settings")?;
-        let mut ports = Ports::default();
         let mut addresses = Vec::new();
         for _ in 0..plan.entries {
             addresses.push(EntryAddresses {
-                callers: ports.take()?,
-                operators: ports.take()?,
-                peers: ports.take()?,
+                callers: free_address(),
+                operators: free_address(),
+                peers: free_address(),
             });
         }
-        let engines = (0..plan.engines).map(|_| ports.take());
-        let engines = engines.collect::<eyre::Result<_>>()?;
+        let engines = (0..plan.engines).map(|_| free_address()).collect();
         let deployment = Self {
             folder,
-            platform: ports.take()?,
-            forwarder: ports.take()?,
+            platform: free_address(),
+            forwarder: free_address(),
             engines,
-            plain: ports.take()?,
+            plain: free_address(),
             addresses,
             entries: RefCell::default(),
             agents: RefCell::default(),
             plan,
         };
-        deployment.start_targets(&mut ports)?;
+        deployment.start_targets()?;
         deployment.start_entries()?;
         deployment.configure().await?;
         Ok(deployment)
@@ -204,13 +202,13 @@
         }
     }
 
-    fn start_targets(&self, ports: &mut Ports) -> eyre::Result<()> {
+    fn start_targets(&self) -> eyre::Result<()> {
         standins::platform(self.platform);
         let mut links = Vec::new();
         for index in 0..=self.plan.engines {
-            let listen = ports.take()?;
+            let listen = free_address();
             let advertise = if self.plan.forwarder {
-                ports.take()?
+                free_address()
             } else {
                 listen
             };
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod daemon;
 pub mod deployment;
-pub mod ports;
 pub mod process;
 pub mod standins;
 
