--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -46,27 +46,10 @@
         let mut blocked: HashSet<QueueKey> = HashSet::new();
         let mut retry_ms: Option<Duration> = None;
         while let Some((key, id)) = self.next_waiting(cx, &blocked) {
-            let Some(run) = self.runs.get(&id) else {
+            let Some((choice, left_ms)) = self.choose(cx, &key, id) else {
                 self.leave_queue(cx.now, &key, id);
                 continue;
             };
-            let queue = self.queues.get_mut(&key);
-            let limits = queue.filter(|_| run.idempotent).map(|queue| {
-                let deadline = queue.wanted_by(cx.now, run.accepted, run.need.deadline);
-                (deadline, queue.waits_until(cx.now, run.accepted))
-            });
-            let (deadline, wanted_by) = limits.unwrap_or((run.need.deadline, None));
-            let choice = if deadline < run.need.deadline || wanted_by.is_some() {
-                let need = Need {
-                    deadline,
-                    wanted_by,
-                    ..run.need.clone()
-                };
-                cx.router.choose(cx.now, &need, &run.tried)
-            } else {
-                cx.router.choose(cx.now, &run.need, &run.tried)
-            };
-            let left = deadline.saturating_duration_since(cx.now);
             match choice {
                 Choice::Target {
                     target,
@@ -86,9 +69,9 @@
                 }
                 Choice::Infeasible { retry_ms: wait } => {
                     if let Some(queue) = self.queues.get_mut(&key) {
-                        queue.infeasible(left.saturating_add(wait));
+                        queue.infeasible(left_ms.saturating_add(wait));
                     }
-                    let detail = "no target can finish the request by the time it is wanted";
+                    let detail = "the request is not expected to finish by the time it is wanted";
                     let refusal = Ending::new(RefusalReason::Overloaded, Some(wait), detail);
                     self.refuse(cx, id, &refusal);
                 }
@@ -100,12 +83,47 @@
             }
         }
         self.queues.retain(|_, queue| !queue.is_forgettable());
-        if let Some(wait) = retry_ms {
-            if let Some(at) = self.pump_at.replace(cx.now + wait) {
-                self.timers.remove(&(at, Timer::Pump));
-            }
-            self.set_timer(cx.now + wait, Timer::Pump);
+        if let Some(wait_ms) = retry_ms {
+            self.pump_again_after(cx.now, wait_ms);
+        }
+    }
+
+    /// Asks the router for a target. Returns its choice and the time left until the answer is
+    /// wanted, or `None` if the run is gone.
+    fn choose(
+        &mut self,
+        cx: &mut Context,
+        key: &QueueKey,
+        id: RequestId,
+    ) -> Option<(Choice, Duration)> {
+        let run = self.runs.get(&id)?;
+        let queue = self.queues.get_mut(key).filter(|_| run.idempotent);
+        let (deadline, wanted_by) = match queue {
+            Some(queue) => (
+                queue.wanted_by(cx.now, run.accepted, run.need.deadline),
+                queue.waits_until(cx.now, run.accepted),
+            ),
+            None => (run.need.deadline, None),
+        };
+        let left_ms = deadline.saturating_duration_since(cx.now);
+        // Most requests are wanted by their deadline; their need is not copied.
+        if deadline == run.need.deadline && wanted_by.is_none() {
+            let choice = cx.router.choose(cx.now, &run.need, &run.tried);
+            return Some((choice, left_ms));
+        }
+        let need = Need {
+            deadline,
+            wanted_by,
+            ..run.need.clone()
+        };
+        Some((cx.router.choose(cx.now, &need, &run.tried), left_ms))
+    }
+
+    fn pump_again_after(&mut self, now: Instant, wait_ms: Duration) {
+        if let Some(at) = self.pump_at.replace(now + wait_ms) {
+            self.timers.remove(&(at, Timer::Pump));
         }
+        self.set_timer(now + wait_ms, Timer::Pump);
     }
 
     /// Refuses those that wait and can no longer be answered in time, because more urgent ones
