--- a/components/agent/src/resume.rs
+++ b/components/agent/src/resume.rs
@@ -20,7 +20,8 @@
 use crate::report::Note;
 
 /// Tries without a new byte after which a run is given up. Together with the time limits of the
-/// client, a silent engine is given up after about 12 s.
+/// client, an engine that does not answer is given up about 12 s after its last byte, and one that
+/// answers without a new byte after 20 s.
 const RESUME_LIMIT: u32 = 3;
 /// Pause before the second try, doubled for each further one. The first try follows at once.
 const RESUME_PAUSE_MS: Duration = Duration::from_millis(100);
