--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod estimate;
 pub mod explain;
 pub mod fleet;
+mod learn;
 pub mod load;
 pub mod member;
 pub mod settings;
--- a/components/testbed/src/deployment.rs
+++ b/components/testbed/src/deployment.rs
@@ -3,11 +3,8 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
-use std::time::Instant;
 
 use control::Command;
-use control::CommandRequest;
 use eyre::WrapErr;
 use http::Client;
 use http::ClientLimits;
@@ -17,15 +14,12 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::json;
-use smol::Timer;
 use standin::engine::EngineOptions;
 use standin::forwarder::Link;
 use standin::ports::free_address;
 use types::OrderKind;
-use types::Profile;
-use types::Service;
-use types::ServiceKind;
 
+use crate::configuration::request;
 use crate::daemon::DAEMON;
 use crate::process::Process;
 use crate::standins;
@@ -37,9 +31,6 @@
 const TOKEN: &str = "testbed-token-of-the-operator-000001";
 /// Secret of the key with the id 1, which all daemons start with.
 pub const KEY: &str = "8f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b49628f0c3a5e7d1b4962";
-/// Time for everything to come up.
-const START_MS: Duration = Duration::from_secs(30);
-const POLL_MS: Duration = Duration::from_millis(100);
 /// Largest answer of a stand-in's counters.
 const COUNTERS_LIMIT_BYTES: usize = 256 << 20;
 
@@ -72,7 +63,7 @@
 
 /// Everything that runs.
 pub struct Deployment {
-    plan: Plan,
+    pub(crate) plan: Plan,
     folder: PathBuf,
     /// The platform stand-in.
     pub platform: SocketAddr,
@@ -313,66 +304,6 @@
         let address = self.platform;
         json!({"table": address, "objects": address, "weights": address, "hosts": address})
     }
-
-    async fn configure(&self) -> eyre::Result<()> {
-        let logbook = Profile {
-            model: "demo".to_owned(),
-            version: "1".to_owned(),
-            concurrency_limit: 256,
-            ..profile("logbook")
-        };
-        let work_order = Profile {
-            idempotent: false,
-            ..profile("work-order")
-        };
-        let commands = [
-            Command::CreateProfile { profile: logbook },
-            Command::CreateProfile {
-                profile: work_order,
-            },
-            service(MODEL_SERVICE, ServiceKind::Model, "logbook"),
-            service(PLAIN_SERVICE, ServiceKind::Plain, "work-order"),
-        ];
-        for command in commands {
-            self.execute_until_done(command).await?;
-        }
-        for entry in 0..self.plan.entries {
-            self.wait_for_targets(entry).await?;
-        }
-        Ok(())
-    }
-
-    async fn execute_until_done(&self, command: Command) -> eyre::Result<()> {
-        let request = request(command);
-        let until = Instant::now() + START_MS;
-        loop {
-            match self.operators(0).execute(&request).await {
-                Ok(_) => return Ok(()),
-                Err(error) if Instant::now() > until => {
-                    return Err(eyre::eyre!("cannot configure: {error}"));
-                }
-                Err(_) => Timer::after(POLL_MS).await,
-            };
-        }
-    }
-
-    async fn wait_for_targets(&self, entry: usize) -> eyre::Result<()> {
-        let until = Instant::now() + START_MS;
-        while Instant::now() < until {
-            if self.open_targets(entry).await == self.plan.engines + 1 {
-                return Ok(());
-            }
-            Timer::after(POLL_MS).await;
-        }
-        Err(eyre::eyre!("targets do not come up at entry {entry}"))
-    }
-
-    async fn open_targets(&self, entry: usize) -> usize {
-        let Ok(status) = self.operators(entry).status().await else {
-            return 0;
-        };
-        status.to_string().matches("\"Open\"").count()
-    }
 }
 
 /// Calls a stand-in; `None` if it does not answer.
@@ -398,30 +329,3 @@
     }
     serde_json::from_slice(&response.body).ok()
 }
-
-fn request(command: Command) -> CommandRequest {
-    CommandRequest {
-        command,
-        reason: "testbed".to_owned(),
-        if_revision: None,
-        dry_run: false,
-    }
-}
-
-fn profile(name: &str) -> Profile {
-    Profile {
-        name: name.to_owned(),
-        deadline_ms: Duration::from_secs(10),
-        ..Profile::default()
-    }
-}
-
-fn service(name: &str, kind: ServiceKind, profile: &str) -> Command {
-    Command::SetService {
-        service: Service {
-            name: name.to_owned(),
-            kind,
-            profile: profile.to_owned(),
-        },
-    }
-}
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 //! itself again as a daemon. Stand-ins run as threads, since nothing has to happen to them that
 //! their fault ports cannot do.
 
+mod configuration;
 pub mod daemon;
 pub mod deployment;
 pub mod process;
