--- a/benches/slopes/messages.rs
+++ b/benches/slopes/messages.rs
@@ -163,6 +163,7 @@
         object: None,
         token: u128::MAX,
         expires_epoch: 30_000_000,
+        proves: None,
     };
     let encode_us = time_us(|| {
         black_box(row.to_json());
--- a/components/request/src/batch.rs
+++ b/components/request/src/batch.rs
@@ -191,7 +191,10 @@
             proof: writes[0].key.clone(),
             ..Transaction::default()
         };
-        for write in &mut writes {
+        for (index, write) in writes.iter_mut().enumerate() {
+            // Without it, a row that an earlier transaction wrote would prove this one, and the
+            // other writes would be taken for done.
+            write.row.proves = (index == 0).then_some(operation);
             if matches!(write.purpose, Purpose::Take(_)) {
                 write.row.expires_epoch = self.epoch + write.epochs_kept;
             }
--- a/components/request/src/claim.rs
+++ b/components/request/src/claim.rs
@@ -136,6 +136,10 @@
     pub token: u128,
     /// Epoch from which the row may be deleted.
     pub expires_epoch: u64,
+    /// Number of the transaction that this row proves. With `token` it is unique to that
+    /// transaction: a write that is sent again in another one keeps its token.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub proves: Option<u64>,
 }
 
 impl ClaimRow {
--- a/components/request/src/claims.rs
+++ b/components/request/src/claims.rs
@@ -213,6 +213,7 @@
                 object: None,
                 token,
                 expires_epoch: 0,
+                proves: None,
             },
             epochs_kept: epochs_kept(kept),
             purpose: Purpose::Take(id),
--- a/components/request/tests/batches.rs
+++ b/components/request/tests/batches.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::PlatformError;
+use platform::TableRequest;
 use request::batch::Batches;
 use request::batch::Purpose;
 use request::batch::Write;
@@ -25,6 +27,7 @@
             object: None,
             token: u128::from(number),
             expires_epoch: 0,
+            proves: None,
         },
         epochs_kept: 1,
         purpose: Purpose::Take(u128::from(number)),
@@ -62,3 +65,33 @@
     }
     seeded::check().quickcheck(property as fn(Vec<u8>) -> bool);
 }
+
+/// Guards against a lost reply that is resolved by the row of an earlier transaction: a write
+/// that is sent again would prove a transaction that was never committed, an outcome in it would
+/// be taken for written, and a resend would run the request a second time.
+#[test]
+fn row_that_is_sent_again_does_not_prove_the_new_transaction() {
+    let mut now = Instant::now();
+    let mut batches = Batches::default();
+    let mut proofs = Vec::new();
+    let mut pending = vec![write(1)];
+    for operation in 1..=2 {
+        for write in pending.drain(..) {
+            batches.push(now, write);
+        }
+        now += Duration::from_secs(1);
+        let Some(TableRequest::Commit(transaction)) = batches.flush(now, operation) else {
+            panic!("no transaction");
+        };
+        let proof = transaction
+            .puts
+            .iter()
+            .find(|put| put.key == transaction.proof);
+        proofs.push(proof.expect("a proof row").value.clone());
+        let lost = PlatformError::Unanswered("lost".to_owned());
+        let (ended, _) = batches.done(operation, Err(lost), 100);
+        pending.extend(ended.into_iter().map(|(write, _)| write));
+        pending.push(write(2));
+    }
+    assert_ne!(proofs[0], proofs[1]);
+}
--- a/components/request/tests/sweeping.rs
+++ b/components/request/tests/sweeping.rs
@@ -56,6 +56,7 @@
         object: None,
         token: u128::from(expires_epoch),
         expires_epoch,
+        proves: None,
     }
 }
 
