--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -1,7 +1,11 @@
 //! Values that the tests of the core share.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use control::FollowerOptions;
+use entry::core::CoreOptions;
+use entry::core::links::LinkTimes;
 use types::Incarnation;
 use types::LoadReport;
 use types::Loaded;
@@ -66,3 +70,19 @@
         applied: 0,
     }
 }
+
+/// Options of an entry in the place `lago-puelo`, without peers.
+pub fn core_options() -> CoreOptions {
+    CoreOptions {
+        name: "entry-1".to_owned(),
+        routing: routing::Settings::new("lago-puelo"),
+        follower: FollowerOptions::default(),
+        links: LinkTimes::default(),
+        share_targets: 64,
+        probe_ms: Duration::from_millis(500),
+        hosts_poll_ms: Duration::from_secs(2),
+        lease_ms: Duration::from_secs(6),
+        address: ([127, 0, 0, 1], 900).into(),
+        peers: Vec::new(),
+    }
+}
--- a/components/entry/tests/sharing.rs
+++ b/components/entry/tests/sharing.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::core_options;
 use common::load;
 use common::target;
 use common::work;
-use control::FollowerOptions;
 use control::Head;
 use control::LeaseRow;
 use control::Versioned;
@@ -22,7 +22,6 @@
 use entry::core::EntryCore;
 use entry::core::Event;
 use entry::core::links::LinkId;
-use entry::core::links::LinkTimes;
 use platform::Put;
 use platform::Rows;
 use platform::TableRequest;
@@ -51,18 +50,13 @@
     fn new(at: u16, now: Instant) -> Self {
         let options = CoreOptions {
             name: format!("entry-{at}"),
-            routing: routing::Settings::new("lago-puelo"),
-            follower: FollowerOptions::default(),
-            links: LinkTimes::default(),
             share_targets: 2,
-            probe_ms: Duration::from_millis(500),
-            hosts_poll_ms: Duration::from_secs(2),
-            lease_ms: Duration::from_secs(6),
             address: address(at),
             peers: (0..ENTRIES)
                 .filter(|peer| *peer != at)
                 .map(address)
                 .collect(),
+            ..core_options()
         };
         Self {
             core: EntryCore::new(options, u64::from(at) + 1, now),
