--- a/components/agent/src/daemon/start.rs
+++ b/components/agent/src/daemon/start.rs
@@ -5,18 +5,18 @@
 use std::time::Instant;
 
 use eyre::eyre;
-use platform::BudgetOptions;
-use platform::GuardContext;
-use platform::Guarded;
-use platform::HttpOptions;
-use platform::HttpTable;
-use platform::HttpWeightStore;
-use platform::RateBudget;
-use platform::RetryOptions;
-use platform::SystemTimer;
 use settings::AgentSettings;
 use slog::Logger;
 use slog::o;
+use store::BudgetOptions;
+use store::GuardContext;
+use store::Guarded;
+use store::HttpOptions;
+use store::HttpTable;
+use store::HttpWeightStore;
+use store::RateBudget;
+use store::RetryOptions;
+use store::SystemTimer;
 use types::Incarnation;
 use types::SystemClock;
 
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform::PlatformError;
-use platform::TableReply;
-use platform::TableRequest;
 use serde::Deserialize;
 use serde::Serialize;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::AttemptId;
 use types::CacheEvent;
 use types::Headers;
@@ -164,13 +164,13 @@
     /// Answer to `Action::PassOrder`.
     OrderPassed(OrderOutcome),
     /// Answer to `Action::ReserveSlot`: `None` grants it, otherwise the time to wait.
-    Slot(Result<Option<Duration>, PlatformError>),
+    Slot(Result<Option<Duration>, StoreError>),
     /// Answer to `Action::Table`.
     TableDone {
         /// The operation.
         operation: OperationId,
         /// Its result.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// The process was asked to stop.
     Leaving,
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::PlatformError;
+use store::StoreError;
 use types::Order;
 use types::OrderKind;
 use types::OrderNumber;
@@ -128,7 +128,7 @@
     }
 
     /// Takes the answer to a request for a slot.
-    pub fn slot(&mut self, now: Instant, result: &Result<Option<Duration>, PlatformError>) {
+    pub fn slot(&mut self, now: Instant, result: &Result<Option<Duration>, StoreError>) {
         let Some(change) = &mut self.change else {
             return;
         };
--- a/components/agent/src/row.rs
+++ b/components/agent/src/row.rs
@@ -14,11 +14,11 @@
 use control::Versioned;
 use control::keys;
 use control::plan_intent;
-use platform::CommitOutcome;
-use platform::PlatformError;
-use platform::Row;
-use platform::TableReply;
-use platform::TableRequest;
+use store::CommitOutcome;
+use store::Row;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::ChangeBody;
 use types::Incarnation;
 use types::Order;
@@ -177,7 +177,7 @@
         &mut self,
         now: Instant,
         operation: OperationId,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
         out: &mut Vec<Action>,
     ) -> RowEvent {
         let Some((_, step)) = self.pending.take_if(|(at, _)| *at == operation) else {
--- a/components/agent/tests/attempts/world.rs
+++ b/components/agent/tests/attempts/world.rs
@@ -11,7 +11,7 @@
 use agent::Limits;
 use agent::RunId;
 use agent::TargetEvent;
-use platform::rows::Rows;
+use store::rows::Rows;
 use types::Loaded;
 use types::Method;
 use types::RunState;
--- a/components/control/src/audit.rs
+++ b/components/control/src/audit.rs
@@ -1,9 +1,9 @@
 //! Reader of the audit trail, which is the change log.
 
-use platform::PlatformError;
-use platform::Table;
-use platform::TableReply;
-use platform::TableRequest;
+use store::StoreError;
+use store::Table;
+use store::TableReply;
+use store::TableRequest;
 use types::Change;
 use types::Revision;
 
@@ -25,7 +25,7 @@
     table: &dyn Table,
     before: Option<Revision>,
     limit: usize,
-) -> Result<Vec<Change>, PlatformError> {
+) -> Result<Vec<Change>, StoreError> {
     let head = read_head(table).await?;
     let mut next = before.map_or(head, |before| before.saturating_sub(1).min(head));
     let mut records = Vec::new();
@@ -43,7 +43,7 @@
     Ok(records)
 }
 
-async fn read_head(table: &dyn Table) -> Result<Revision, PlatformError> {
+async fn read_head(table: &dyn Table) -> Result<Revision, StoreError> {
     let rows = read(table, vec![keys::HEAD.to_owned()]).await?;
     let head: Option<Head> = rows
         .first()
@@ -53,15 +53,15 @@
     Ok(head.unwrap_or_default().revision)
 }
 
-async fn read(table: &dyn Table, keys: Vec<String>) -> Result<Vec<platform::Row>, PlatformError> {
+async fn read(table: &dyn Table, keys: Vec<String>) -> Result<Vec<store::Row>, StoreError> {
     match table.call(TableRequest::Read(keys)).await? {
         TableReply::Rows(rows) => Ok(rows),
-        TableReply::Commit(_) => Err(PlatformError::Malformed(
+        TableReply::Commit(_) => Err(StoreError::Malformed(
             "commit outcome in answer to a read".to_owned(),
         )),
     }
 }
 
-fn malformed(error: &RowError) -> PlatformError {
-    PlatformError::Malformed(error.to_string())
+fn malformed(error: &RowError) -> StoreError {
+    StoreError::Malformed(error.to_string())
 }
--- a/components/control/src/execute.rs
+++ b/components/control/src/execute.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use platform::CommitOutcome;
-use platform::PlatformError;
-use platform::RowVersion;
-use platform::Table;
-use platform::TableReply;
-use platform::TableRequest;
-use platform::Timer;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::CommitOutcome;
+use store::RowVersion;
+use store::StoreError;
+use store::Table;
+use store::TableReply;
+use store::TableRequest;
+use store::Timer;
 use types::Change;
 use types::Clock;
 
@@ -233,7 +233,7 @@
         self.read_keys(vec![key], rows).await
     }
 
-    async fn rows(&self, request: TableRequest) -> Result<Vec<platform::Row>, CommandError> {
+    async fn rows(&self, request: TableRequest) -> Result<Vec<store::Row>, CommandError> {
         match self.table.call(request).await {
             Ok(TableReply::Rows(rows)) => Ok(rows),
             Ok(TableReply::Commit(_)) => Err(CommandError::Unavailable {
@@ -253,9 +253,9 @@
 }
 
 /// Error of a commit that gave no outcome.
-fn commit_error(result: Result<TableReply, PlatformError>, token: u128) -> CommandError {
+fn commit_error(result: Result<TableReply, StoreError>, token: u128) -> CommandError {
     match result {
-        Err(error @ (PlatformError::Unavailable(_) | PlatformError::RateLimited)) => {
+        Err(error @ (StoreError::Unavailable(_) | StoreError::RateLimited)) => {
             CommandError::Unavailable {
                 detail: error.to_string(),
             }
--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -14,12 +14,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::PlatformError;
-use platform::TableReply;
-use platform::TableRequest;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::Change;
 use types::Revision;
 
@@ -231,7 +231,7 @@
         &mut self,
         now: Instant,
         operation: u64,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
         actions: &mut Vec<FollowerAction>,
     ) {
         let Some((_, sent, call)) = self.call.take_if(|call| call.0 == operation) else {
@@ -263,7 +263,7 @@
         }
     }
 
-    fn read_head(&mut self, now: Instant, rows: &[platform::Row]) -> Result<(), RowError> {
+    fn read_head(&mut self, now: Instant, rows: &[store::Row]) -> Result<(), RowError> {
         let head: Option<Head> = rows.first().map(decode).transpose()?;
         self.heard_of(now, head.unwrap_or_default().revision);
         if self.known > self.applied() {
@@ -275,7 +275,7 @@
     fn read_log(
         &mut self,
         now: Instant,
-        rows: &[platform::Row],
+        rows: &[store::Row],
         actions: &mut Vec<FollowerAction>,
     ) -> Result<(), RowError> {
         let mut changes = Vec::with_capacity(rows.len());
@@ -301,7 +301,7 @@
         &mut self,
         now: Instant,
         loading: Loading,
-        rows: &[platform::Row],
+        rows: &[store::Row],
         actions: &mut Vec<FollowerAction>,
     ) -> Result<(), RowError> {
         match loading.page(rows)? {
--- a/components/control/src/follower/event.rs
+++ b/components/control/src/follower/event.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use platform::PlatformError;
-use platform::TableReply;
-use platform::TableRequest;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::Change;
 use types::Incarnation;
 use types::Revision;
@@ -22,7 +22,7 @@
         /// From the action.
         operation: u64,
         /// Its end.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// Another process has applied this revision.
     Hint {
--- a/components/control/src/lease.rs
+++ b/components/control/src/lease.rs
@@ -14,17 +14,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Check;
-use platform::CommitOutcome;
-use platform::PlatformError;
-use platform::Row;
-use platform::RowVersion;
-use platform::TableReply;
-use platform::TableRequest;
-use platform::Transaction;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::Check;
+use store::CommitOutcome;
+use store::Row;
+use store::RowVersion;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
+use store::Transaction;
 use types::Incarnation;
 
 use crate::keys;
@@ -236,7 +236,7 @@
         &mut self,
         now: Instant,
         operation: u64,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
         actions: &mut Vec<LeaseAction>,
     ) {
         let Some((_, sent, call)) = self.call.take_if(|call| call.0 == operation) else {
--- a/components/control/src/lease/event.rs
+++ b/components/control/src/lease/event.rs
@@ -1,9 +1,9 @@
 //! What a lease is told and what it wants done.
 
-use platform::PlatformError;
-use platform::RowVersion;
-use platform::TableReply;
-use platform::TableRequest;
+use store::RowVersion;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::FencingNumber;
 use types::Incarnation;
 
@@ -30,7 +30,7 @@
         /// From the action.
         operation: u64,
         /// Its end.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// The process stops: give the lease back and take no other.
     Release,
--- a/components/control/src/loading.rs
+++ b/components/control/src/loading.rs
@@ -5,8 +5,8 @@
 //! that changed in the meantime is overwritten by its latest record, and every other row is as
 //! it was at the first head.
 
-use platform::Row;
-use platform::TableRequest;
+use store::Row;
+use store::TableRequest;
 use types::Change;
 use types::Revision;
 
--- a/components/control/src/operators.rs
+++ b/components/control/src/operators.rs
@@ -1,6 +1,6 @@
 //! Operators' commands as plans.
 
-use platform::Put;
+use store::Put;
 use types::ChangeBody;
 use types::Profile;
 use types::Revision;
--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -4,7 +4,7 @@
 //! the version of the order row, so that a holder that lost its lease, or two authors at once,
 //! cannot both write one.
 
-use platform::Put;
+use store::Put;
 use types::ChangeBody;
 use types::Order;
 use types::OrderKind;
--- a/components/control/src/plan.rs
+++ b/components/control/src/plan.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use platform::Check;
-use platform::Put;
-use platform::Transaction;
 use serde::Serialize;
+use store::Check;
+use store::Put;
+use store::Transaction;
 use types::Change;
 use types::ChangeBody;
 use types::Revision;
--- a/components/control/src/rows.rs
+++ b/components/control/src/rows.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
-use platform::Check;
-use platform::Row;
-use platform::RowVersion;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use store::Check;
+use store::Row;
+use store::RowVersion;
 use types::FencingNumber;
 use types::Incarnation;
 use types::Revision;
--- a/components/control/src/snapshot.rs
+++ b/components/control/src/snapshot.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::Row;
+use store::Row;
 use types::Change;
 use types::ChangeBody;
 use types::Order;
--- a/components/control/tests/lease.rs
+++ b/components/control/tests/lease.rs
@@ -23,8 +23,8 @@
 use control::LeaseAction;
 use control::LeaseEvent;
 use control::PlannedOrder;
-use platform::CallFault;
-use platform::Table;
+use store::CallFault;
+use store::Table;
 use types::ChangeBody;
 use types::OrderKind;
 
--- a/components/entry/src/core/configuration.rs
+++ b/components/entry/src/core/configuration.rs
@@ -6,10 +6,10 @@
 use control::FollowerAction;
 use control::FollowerEvent;
 use control::Snapshot;
-use platform::HostEntry;
-use platform::HostState;
-use platform::PlatformError;
 use request::Terms;
+use store::HostEntry;
+use store::HostState;
+use store::StoreError;
 
 use crate::core::Action;
 use crate::core::EntryCore;
@@ -135,7 +135,7 @@
     pub(super) fn hosts(
         &mut self,
         now: Instant,
-        result: Result<Vec<HostEntry>, PlatformError>,
+        result: Result<Vec<HostEntry>, StoreError>,
         actions: &mut Vec<Action>,
     ) {
         let entries = match result {
--- a/components/entry/src/core/duties.rs
+++ b/components/entry/src/core/duties.rs
@@ -12,13 +12,13 @@
 use control::LeaseEvent;
 use control::Snapshot;
 use control::rendezvous;
-use platform::ObjectReply;
-use platform::PlatformError;
-use platform::TableReply;
 use request::sweep::Sweep;
 use request::sweep::SweepAction;
 use request::sweep::SweepCall;
 use request::sweep::SweepEvent;
+use store::ObjectReply;
+use store::StoreError;
+use store::TableReply;
 use types::Incarnation;
 use types::ServiceKind;
 use types::ServiceName;
@@ -203,7 +203,7 @@
         &mut self,
         now: Instant,
         operation: u64,
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
         actions: &mut Vec<Action>,
     ) {
         // One record for each outage; an answer that waits is tried again every few seconds.
@@ -229,7 +229,7 @@
         &mut self,
         now: Instant,
         operation: u64,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
         actions: &mut Vec<Action>,
     ) {
         let Some((owner, operation)) = self.operations.end(operation) else {
--- a/components/entry/src/core/event.rs
+++ b/components/entry/src/core/event.rs
@@ -4,12 +4,12 @@
 
 use control::HeldLease;
 use control::PeerAnswer;
-use platform::HostEntry;
-use platform::ObjectReply;
-use platform::ObjectRequest;
-use platform::PlatformError;
-use platform::TableReply;
-use platform::TableRequest;
+use store::HostEntry;
+use store::ObjectReply;
+use store::ObjectRequest;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::Incarnation;
 use types::OrderKind;
 use types::Reply;
@@ -67,17 +67,17 @@
         /// Number from `Action::Table`.
         operation: u64,
         /// Its end.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// A call to the object store ended.
     ObjectDone {
         /// Number from `Action::Object`.
         operation: u64,
         /// Its end.
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     },
     /// The host list was read.
-    Hosts(Result<Vec<HostEntry>, PlatformError>),
+    Hosts(Result<Vec<HostEntry>, StoreError>),
     /// Another entry asks for changes.
     PeerAsks {
         /// Run of the other entry.
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -24,25 +24,25 @@
 
 use async_channel::Sender;
 use eyre::WrapErr;
-use platform::BudgetOptions;
-use platform::GuardContext;
-use platform::Guarded;
-use platform::HostList;
-use platform::ObjectStore;
-use platform::PlatformError;
-use platform::RateBudget;
-use platform::RetryOptions;
-use platform::SystemTimer;
-use platform::Table;
-use platform::client::HttpHostList;
-use platform::client::HttpObjectStore;
-use platform::client::HttpOptions;
-use platform::client::HttpTable;
-use platform::objects;
 use settings::EntrySettings;
 use slog::Logger;
 use smol::LocalExecutor;
 use smol::Task;
+use store::BudgetOptions;
+use store::GuardContext;
+use store::Guarded;
+use store::HostList;
+use store::ObjectStore;
+use store::RateBudget;
+use store::RetryOptions;
+use store::StoreError;
+use store::SystemTimer;
+use store::Table;
+use store::client::HttpHostList;
+use store::client::HttpObjectStore;
+use store::client::HttpOptions;
+use store::client::HttpTable;
+use store::objects;
 use types::Clock;
 use types::Incarnation;
 use types::Reply;
@@ -286,7 +286,7 @@
                 self.spawn(async move {
                     let late = async {
                         smol::Timer::after(OBJECT_CALL_MS).await;
-                        Err(PlatformError::Unanswered("no answer in time".to_owned()))
+                        Err(StoreError::Unanswered("no answer in time".to_owned()))
                     };
                     let call = objects::call(&*daemon.objects, request);
                     let result = smol::future::or(call, late).await;
--- a/components/fakes/src/hosts.rs
+++ b/components/fakes/src/hosts.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::HostEntry;
-use platform::HostState;
+use store::HostEntry;
+use store::HostState;
 use types::HostName;
 
 /// The host list.
--- a/components/fakes/src/objects.rs
+++ b/components/fakes/src/objects.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::ObjectReply;
-use platform::ObjectRequest;
-use platform::PlatformError;
-use platform::Timer;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::ObjectReply;
+use store::ObjectRequest;
+use store::StoreError;
+use store::Timer;
 use types::Clock;
 
 /// Time after which a call without an answer is given up.
@@ -144,11 +144,11 @@
         &self,
         cut: &Cell<bool>,
         request: ObjectRequest,
-    ) -> Result<ObjectReply, PlatformError> {
+    ) -> Result<ObjectReply, StoreError> {
         let slow_ms = self.faults.get().slow_ms;
         if cut.get() {
             self.timer.sleep(ONE_WAY_MS).await;
-            return Err(PlatformError::Unavailable("no connection".to_owned()));
+            return Err(StoreError::Unavailable("no connection".to_owned()));
         }
         if slow_ms >= CALL_TIMEOUT_MS {
             self.apply_late(slow_ms, request);
@@ -157,7 +157,7 @@
         self.timer.sleep(ONE_WAY_MS + slow_ms).await;
         let faults = self.faults.get();
         if faults.outage {
-            return Err(PlatformError::Unavailable("outage".to_owned()));
+            return Err(StoreError::Unavailable("outage".to_owned()));
         }
         if self.roll(faults.late_permille) {
             let delay = self.random.borrow_mut().random_range(0..LATE_LIMIT_MS);
@@ -176,13 +176,13 @@
         }
         self.timer.sleep(ONE_WAY_MS).await;
         if cut.get() {
-            return Err(PlatformError::Unanswered("connection lost".to_owned()));
+            return Err(StoreError::Unanswered("connection lost".to_owned()));
         }
         Ok(reply)
     }
 
-    async fn no_answer(&self) -> Result<ObjectReply, PlatformError> {
+    async fn no_answer(&self) -> Result<ObjectReply, StoreError> {
         self.timer.sleep(CALL_TIMEOUT_MS).await;
-        Err(PlatformError::Unanswered("no answer in time".to_owned()))
+        Err(StoreError::Unanswered("no answer in time".to_owned()))
     }
 }
--- a/components/fakes/src/table.rs
+++ b/components/fakes/src/table.rs
@@ -7,19 +7,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::CommitOutcome;
-use platform::PlatformError;
-use platform::PlatformFuture;
-use platform::Row;
-use platform::Rows;
-use platform::Table;
-use platform::TableReply;
-use platform::TableRequest;
-use platform::Timer;
-use platform::Transaction;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::CommitOutcome;
+use store::Row;
+use store::Rows;
+use store::StoreError;
+use store::StoreFuture;
+use store::Table;
+use store::TableReply;
+use store::TableRequest;
+use store::Timer;
+use store::Transaction;
 use types::Clock;
 
 /// Time after which a call without an answer is given up.
@@ -148,13 +148,13 @@
         permille > 0 && self.random.borrow_mut().random_range(0..PERMILLE) < permille
     }
 
-    async fn answer(&self, request: TableRequest) -> Result<TableReply, PlatformError> {
+    async fn answer(&self, request: TableRequest) -> Result<TableReply, StoreError> {
         self.timer
             .sleep(ONE_WAY_MS + self.faults.get().slow_ms)
             .await;
         let faults = self.faults.get();
         if faults.outage {
-            return Err(PlatformError::Unavailable("outage".to_owned()));
+            return Err(StoreError::Unavailable("outage".to_owned()));
         }
         if self.roll(faults.lost_permille) {
             return self.no_answer().await;
@@ -175,9 +175,9 @@
         Ok(reply)
     }
 
-    async fn no_answer(&self) -> Result<TableReply, PlatformError> {
+    async fn no_answer(&self) -> Result<TableReply, StoreError> {
         self.timer.sleep(CALL_TIMEOUT_MS).await;
-        Err(PlatformError::Unanswered("no answer in time".to_owned()))
+        Err(StoreError::Unanswered("no answer in time".to_owned()))
     }
 }
 
@@ -196,15 +196,15 @@
 }
 
 impl Table for TablePort {
-    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply> {
+    fn call(&self, request: TableRequest) -> StoreFuture<'_, TableReply> {
         Box::pin(async move {
             if self.cut.get() {
                 self.table.timer.sleep(CALL_TIMEOUT_MS).await;
-                return Err(PlatformError::Unavailable("no connection".to_owned()));
+                return Err(StoreError::Unavailable("no connection".to_owned()));
             }
             let result = self.table.answer(request).await;
             if self.cut.get() {
-                return Err(PlatformError::Unanswered("connection lost".to_owned()));
+                return Err(StoreError::Unanswered("connection lost".to_owned()));
             }
             result
         })
--- a/components/fakes/src/tasks.rs
+++ b/components/fakes/src/tasks.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Timer;
+use store::Timer;
 use types::Clock;
 use types::ManualClock;
 
--- a/components/http/src/body.rs
+++ b/components/http/src/body.rs
@@ -14,6 +14,8 @@
     Length(u64),
     /// `Transfer-Encoding: chunked`.
     Chunked,
+    /// Neither; the body of an answer ends where the peer closes the connection.
+    UntilClose,
 }
 
 /// A body that is not framed as HTTP demands.
@@ -75,6 +77,10 @@
                 state: State::Data,
                 remaining: length,
             },
+            Framing::UntilClose => Self {
+                state: State::Data,
+                remaining: u64::MAX,
+            },
             Framing::Chunked => Self {
                 state: State::Size {
                     digits: 0,
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_h1::client::Encoder;
@@ -17,6 +18,8 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::Url;
+use http_types::headers::Headers;
+use rustix::net::sockopt;
 use smol::Timer;
 use smol::net::TcpStream;
 
@@ -24,10 +27,14 @@
 use crate::input::Input;
 use crate::limits::ClientLimits;
 use crate::response;
+use crate::response::Expected;
 use crate::response::StreamingResponse;
 use crate::response::WholeResponse;
 use crate::watchdog::Watchdog;
 
+/// Keepalive probes without an answer after which a peer is taken for gone.
+const LOST_PROBES: u32 = 2;
+
 /// A connection between two requests.
 #[derive(Debug)]
 pub(crate) struct Idle {
@@ -156,6 +163,9 @@
         };
         let stream = connect.or(give_up).await?;
         let _ = stream.set_nodelay(true);
+        if let Some(interval) = self.limits.probe_ms {
+            probe_peer(&stream, interval).map_err(ClientError::not_sent)?;
+        }
         Ok(Connection {
             receiving: Input::new(&stream),
             stream,
@@ -164,6 +174,41 @@
         })
     }
 
+    /// Sends a request whose head is encoded already, and returns when the head of the answer has
+    /// arrived. Nothing is sent a second time. Answers for which `is_own` is false are dropped.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` if no byte was sent, otherwise `Interrupted`.
+    pub async fn forward(
+        &self,
+        head: &[u8],
+        body: &[u8],
+        head_only: bool,
+        is_own: impl Fn(&Headers) -> bool,
+    ) -> Result<StreamingResponse, ClientError> {
+        let mut connection = self.connect().await?;
+        connection.watchdog.set(self.limits.head_ms);
+        let bytes = [head, body].concat();
+        let mut input = Vec::new();
+        let request_written = write_until_answered(&mut connection, &bytes, &mut input)
+            .await
+            .map_err(|(error, _)| error)?;
+        let expected = Expected {
+            head_only,
+            request_written,
+            is_own: &is_own,
+        };
+        response::read_head(connection, input, self.limits, self.pool.clone(), expected)
+            .await
+            .map_err(|(error, _)| error)
+    }
+
+    /// Closes idle connections.
+    pub fn close_idle(&self) {
+        self.pool.borrow_mut().clear();
+    }
+
     /// The error comes with whether the connection ended without a byte of the answer.
     async fn exchange(
         &self,
@@ -172,9 +217,14 @@
         method: Method,
     ) -> Result<StreamingResponse, (ClientError, bool)> {
         connection.watchdog.set(self.limits.head_ms);
-        write_all(&mut connection, bytes).await?;
-        let head_only = method == Method::Head;
-        response::read_head(connection, self.limits, self.pool.clone(), head_only).await
+        let mut input = Vec::new();
+        let request_written = write_until_answered(&mut connection, bytes, &mut input).await?;
+        let expected = Expected {
+            head_only: method == Method::Head,
+            request_written,
+            is_own: &|_| true,
+        };
+        response::read_head(connection, input, self.limits, self.pool.clone(), expected).await
     }
 }
 
@@ -184,7 +234,13 @@
     poll_once(stream.read(&mut byte)).await.is_none()
 }
 
-async fn write_all(connection: &mut Connection, bytes: &[u8]) -> Result<(), (ClientError, bool)> {
+/// Writes a request, but stops when bytes of an answer arrive before its end. Returns whether all
+/// was written.
+async fn write_until_answered(
+    connection: &mut Connection,
+    bytes: &[u8],
+    input: &mut Vec<u8>,
+) -> Result<bool, (ClientError, bool)> {
     let mut written = 0;
     let failed = |written: usize, cause: &dyn std::fmt::Display| {
         if written == 0 {
@@ -200,6 +256,18 @@
                 Poll::Ready(Ok(_)) => return Poll::Ready(Err(failed(written, &"closed"))),
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(failed(written, &error))),
                 Poll::Pending => {
+                    let mut chunk = [0; 4 << 10];
+                    match connection.receiving.poll_read(cx, &mut chunk) {
+                        Poll::Ready(Ok(count)) if count > 0 => {
+                            input.extend_from_slice(&chunk[..count]);
+                            return Poll::Ready(Ok(false));
+                        }
+                        Poll::Ready(Ok(_)) => return Poll::Ready(Err(failed(written, &"closed"))),
+                        Poll::Ready(Err(error)) => {
+                            return Poll::Ready(Err(failed(written, &error)));
+                        }
+                        Poll::Pending => {}
+                    }
                     return connection
                         .watchdog
                         .poll_expired(cx)
@@ -207,11 +275,22 @@
                 }
             }
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(Ok(true))
     })
     .await
 }
 
+/// Lets the kernel find out whether the peer is still there.
+fn probe_peer(stream: &TcpStream, interval: Duration) -> rustix::io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, interval)?;
+    sockopt::set_tcp_keepintvl(stream, interval)?;
+    sockopt::set_tcp_keepcnt(stream, LOST_PROBES)?;
+    let unacknowledged = interval * (LOST_PROBES + 1);
+    let unacknowledged = u32::try_from(unacknowledged.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(stream, unacknowledged)
+}
+
 /// Reads more bytes into `input`; 0 at the end of the connection.
 pub(crate) async fn read_more(
     connection: &mut Connection,
--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -57,6 +57,8 @@
             Incoming::Request(head, body, _share) => {
                 let request = Request {
                     head: head.request,
+                    target: head.target,
+                    host: head.host,
                     body,
                     peer: exchange.peer,
                 };
@@ -196,7 +198,7 @@
 ) -> Result<Option<Vec<u8>>, Problem> {
     let announced = match head.framing {
         Framing::Length(length) => length,
-        Framing::Chunked => 0,
+        Framing::Chunked | Framing::UntilClose => 0,
     };
     if announced > limit_bytes {
         return Err(too_large(limit_bytes));
--- a/components/http/src/head.rs
+++ b/components/http/src/head.rs
@@ -23,6 +23,10 @@
 pub struct Head {
     /// Method, URL and fields; without a body.
     pub request: http_types::Request,
+    /// Request target as it was sent; a URL normalizes it.
+    pub target: String,
+    /// Value of the `Host` field.
+    pub host: String,
     /// How the end of the body is found.
     pub framing: Framing,
     /// The peer waits for `100 Continue` before it sends the body.
@@ -98,6 +102,8 @@
     }
     Ok(Head {
         request,
+        target: request_target(request_line).to_owned(),
+        host: host.to_owned(),
         framing,
         expects_continue: fields.expects_continue,
         close: fields.close,
@@ -137,6 +143,10 @@
     Err(HeadError::new(400, "the request line is malformed"))
 }
 
+fn request_target(request_line: &str) -> &str {
+    request_line.split(' ').nth(1).unwrap_or_default()
+}
+
 #[derive(Default)]
 struct Fields<'a> {
     host: Option<&'a str>,
--- a/components/http/src/limits.rs
+++ b/components/http/src/limits.rs
@@ -54,6 +54,11 @@
     pub stall_ms: Duration,
     /// Largest body that `send_whole` collects.
     pub body_limit_bytes: usize,
+    /// Interval of TCP keepalive probes, which tell a peer that is gone from one that is slow.
+    /// Without probes only `head_ms` and `stall_ms` end a wait.
+    pub probe_ms: Option<Duration>,
+    /// Accept bodies without announced length, which end with their connection.
+    pub body_until_close: bool,
 }
 
 impl Default for ClientLimits {
@@ -65,6 +70,8 @@
             head_ms: Duration::from_secs(30),
             stall_ms: Duration::from_secs(30),
             body_limit_bytes: 64 << 20,
+            probe_ms: None,
+            body_until_close: false,
         }
     }
 }
--- a/components/http/src/response.rs
+++ b/components/http/src/response.rs
@@ -45,6 +45,7 @@
     limits: ClientLimits,
     pool: Pool,
     reusable: bool,
+    until_close: bool,
 }
 
 impl StreamingResponse {
@@ -79,6 +80,9 @@
                 self.connection = None;
             }
             if count? == 0 {
+                if self.until_close {
+                    return Ok(None);
+                }
                 return Err(ClientError::interrupted("the body is cut short"));
             }
         }
@@ -132,14 +136,26 @@
     }
 }
 
-/// Reads the head of an answer. The error comes with whether no byte of it had arrived.
+/// What is expected of the answer to a request.
+pub(crate) struct Expected<'a> {
+    /// The request's method was HEAD.
+    pub(crate) head_only: bool,
+    /// The whole request was written; otherwise the connection cannot be used again.
+    pub(crate) request_written: bool,
+    /// Whether an answer belongs to the request. Answers that do not are read and dropped.
+    pub(crate) is_own: &'a dyn Fn(&Headers) -> bool,
+}
+
+/// Reads the head of an answer; `input` holds bytes that arrived already. The error comes with
+/// whether no byte of the answer had arrived.
 pub(crate) async fn read_head(
     mut connection: Connection,
+    mut input: Vec<u8>,
     limits: ClientLimits,
     pool: Pool,
-    head_only: bool,
+    expected: Expected<'_>,
 ) -> Result<StreamingResponse, (ClientError, bool)> {
-    let mut input = Vec::new();
+    let mut reusable = expected.request_written;
     loop {
         let Some(end) = find_head_end(&input) else {
             if input.len() >= HEAD_LIMIT_BYTES {
@@ -162,14 +178,24 @@
         if head.status().is_informational() {
             continue;
         }
-        let framing = framing(&head, head_only).map_err(|error| (error, false))?;
+        let framing = framing(&head, expected.head_only, limits.body_until_close)
+            .map_err(|error| (error, false))?;
+        if !(expected.is_own)(head.as_ref()) {
+            // The answer to an earlier request, or a second copy of one.
+            reusable = false;
+            drop_body(&mut connection, &mut input, framing)
+                .await
+                .map_err(|error| (error, false))?;
+            continue;
+        }
         let mut response = StreamingResponse {
             status: head.status(),
             length: match framing {
                 Framing::Length(length) => Some(length),
-                Framing::Chunked => None,
+                Framing::Chunked | Framing::UntilClose => None,
             },
-            reusable: !announces_close(&head),
+            reusable: reusable && framing != Framing::UntilClose && !announces_close(&head),
+            until_close: framing == Framing::UntilClose,
             headers: (head.as_ref() as &Headers).clone(),
             connection: Some(connection),
             decoder: BodyDecoder::new(framing),
@@ -184,6 +210,26 @@
     }
 }
 
+async fn drop_body(
+    connection: &mut Connection,
+    input: &mut Vec<u8>,
+    framing: Framing,
+) -> Result<(), ClientError> {
+    let mut decoder = BodyDecoder::new(framing);
+    loop {
+        let used = decoder
+            .decode(input, &mut Vec::new())
+            .map_err(ClientError::interrupted)?;
+        input.drain(..used);
+        if decoder.is_done() {
+            return Ok(());
+        }
+        if read_more(connection, input).await? == 0 {
+            return Err(ClientError::interrupted("closed before the answer"));
+        }
+    }
+}
+
 fn find_head_end(input: &[u8]) -> Option<usize> {
     input
         .windows(4)
@@ -207,7 +253,7 @@
     Ok(response)
 }
 
-fn framing(head: &Response, head_only: bool) -> Result<Framing, ClientError> {
+fn framing(head: &Response, head_only: bool, until_close: bool) -> Result<Framing, ClientError> {
     let status = head.status();
     if head_only || status == StatusCode::NoContent || status == StatusCode::NotModified {
         return Ok(Framing::Length(0));
@@ -219,6 +265,9 @@
         return Err(ClientError::interrupted("unknown transfer encoding"));
     }
     let Some(lengths) = head.header("content-length") else {
+        if until_close {
+            return Ok(Framing::UntilClose);
+        }
         // A body that ends with the connection cannot be told from one that is cut short.
         return Err(ClientError::interrupted(
             "the body's length is not announced",
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -32,6 +32,10 @@
 pub struct Request {
     /// Method, URL and fields; the body is beside it.
     pub head: http_types::Request,
+    /// Request target as it was sent.
+    pub target: String,
+    /// Value of the `Host` field.
+    pub host: String,
     /// Body; empty without one.
     pub body: Vec<u8>,
     /// Address of the peer.
--- a/components/request/src/action.rs
+++ b/components/request/src/action.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use platform::ObjectRequest;
-use platform::TableRequest;
+use store::ObjectRequest;
+use store::TableRequest;
 use types::RefusalReason;
 use types::Reply;
 use types::RequestId;
--- a/components/request/src/batch.rs
+++ b/components/request/src/batch.rs
@@ -10,15 +10,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Check;
-use platform::CommitOutcome;
-use platform::PlatformError;
-use platform::Put;
-use platform::Row;
-use platform::RowVersion;
-use platform::TableReply;
-use platform::TableRequest;
-use platform::Transaction;
+use store::Check;
+use store::CommitOutcome;
+use store::Put;
+use store::Row;
+use store::RowVersion;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
+use store::Transaction;
 use types::RequestId;
 
 use crate::claim::ClaimRow;
@@ -153,7 +153,7 @@
     pub fn done(
         &mut self,
         operation: u64,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
         next: u64,
     ) -> (Vec<(Write, WriteEnd)>, Option<TableRequest>) {
         let Some(InFlight { writes, reading }) = self.in_flight.remove(&operation) else {
@@ -174,7 +174,7 @@
                 let (ended, rest) = self.sort_out(writes, rows, true);
                 (ended, self.commit(next, rest))
             }
-            Err(PlatformError::Unavailable(_) | PlatformError::RateLimited) => {
+            Err(StoreError::Unavailable(_) | StoreError::RateLimited) => {
                 (all_ended(writes, &WriteEnd::Unavailable), None)
             }
             // A read that fails has written nothing, and neither has the commit before it.
--- a/components/request/src/claims.rs
+++ b/components/request/src/claims.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::PlatformError;
-use platform::Row;
-use platform::RowVersion;
-use platform::TableReply;
-use platform::TableRequest;
+use store::Row;
+use store::RowVersion;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
 use types::Incarnation;
 use types::RefusalReason;
 use types::RequestId;
@@ -99,7 +99,7 @@
         &mut self,
         cx: &mut Context,
         operation: u64,
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     ) {
         if let Some(ids) = self.reads.remove(&operation) {
             self.claims_read(cx, &ids, result);
@@ -122,7 +122,7 @@
         &mut self,
         cx: &mut Context,
         ids: &[RequestId],
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     ) {
         let rows = match result {
             Ok(TableReply::Rows(rows)) => Some(rows),
--- a/components/request/src/event.rs
+++ b/components/request/src/event.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use platform::ObjectReply;
-use platform::PlatformError;
-use platform::TableReply;
+use store::ObjectReply;
+use store::StoreError;
+use store::TableReply;
 use types::Incarnation;
 use types::Profile;
 use types::RequestId;
@@ -82,14 +82,14 @@
         /// Number from `Action::Table`.
         operation: u64,
         /// Its end.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// A call to the object store ended.
     ObjectDone {
         /// Number from `Action::Object`.
         operation: u64,
         /// Its end.
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     },
     /// The process is stopping: new requests are refused, and those in flight finish.
     Leaving,
--- a/components/request/src/objects.rs
+++ b/components/request/src/objects.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::ObjectReply;
-use platform::ObjectRequest;
-use platform::PlatformError;
+use store::ObjectReply;
+use store::ObjectRequest;
+use store::StoreError;
 use types::RefusalReason;
 use types::RequestId;
 
@@ -157,13 +157,13 @@
         &mut self,
         cx: &mut Context,
         operation: u64,
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     ) {
         match self.objects.in_flight.remove(&operation) {
             Some(Call::Put(storing)) => self.put_ended(cx, *storing, result),
             Some(Call::Get(id)) => self.fetched(cx, id, result),
             Some(Call::Delete(key)) => match result {
-                Ok(_) | Err(PlatformError::Malformed(_)) => {}
+                Ok(_) | Err(StoreError::Malformed(_)) => {}
                 Err(_) => {
                     self.objects.delete(key);
                     self.pause_objects(cx.now);
@@ -177,7 +177,7 @@
         &mut self,
         cx: &mut Context,
         storing: Storing,
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     ) {
         match result {
             Ok(ObjectReply::Stored) => {
@@ -185,7 +185,7 @@
                 self.push_write(cx.now, storing.write);
             }
             // The store refuses this object for good.
-            Ok(_) | Err(PlatformError::Malformed(_)) => self.give_up_answer(cx.now, storing.write),
+            Ok(_) | Err(StoreError::Malformed(_)) => self.give_up_answer(cx.now, storing.write),
             Err(_) if cx.now >= storing.until => self.give_up_answer(cx.now, storing.write),
             Err(_) => {
                 self.objects.puts.push_front(storing);
@@ -204,7 +204,7 @@
         &mut self,
         cx: &mut Context,
         id: RequestId,
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     ) {
         let Some(object) = self.fetching(id).cloned() else {
             return;
--- a/components/request/src/outcomes.rs
+++ b/components/request/src/outcomes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Row;
-use platform::RowVersion;
+use store::Row;
+use store::RowVersion;
 use types::Refusal;
 use types::RefusalReason;
 use types::Reply;
--- a/components/request/src/run.rs
+++ b/components/request/src/run.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::RowVersion;
 use smallvec::SmallVec;
+use store::RowVersion;
 use types::AttemptId;
 use types::Incarnation;
 use types::Loaded;
--- a/components/request/src/sweep.rs
+++ b/components/request/src/sweep.rs
@@ -13,18 +13,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::Check;
-use platform::CommitOutcome;
-use platform::ObjectReply;
-use platform::ObjectRequest;
-use platform::PlatformError;
-use platform::Put;
-use platform::Row;
-use platform::RowVersion;
-use platform::TableReply;
-use platform::TableRequest;
-use platform::Transaction;
 use serde::Serialize;
+use store::Check;
+use store::CommitOutcome;
+use store::ObjectReply;
+use store::ObjectRequest;
+use store::Put;
+use store::Row;
+use store::RowVersion;
+use store::StoreError;
+use store::TableReply;
+use store::TableRequest;
+use store::Transaction;
 
 use crate::claim::CLAIM_PREFIX;
 use crate::claim::ClaimRow;
@@ -58,14 +58,14 @@
         /// Number from `SweepAction`.
         operation: u64,
         /// Its end.
-        result: Result<TableReply, PlatformError>,
+        result: Result<TableReply, StoreError>,
     },
     /// A call to the object store ended.
     ObjectDone {
         /// Number from `SweepAction`.
         operation: u64,
         /// Its end.
-        result: Result<ObjectReply, PlatformError>,
+        result: Result<ObjectReply, StoreError>,
     },
     /// Time passed.
     Tick,
@@ -221,7 +221,7 @@
         })
     }
 
-    fn done(&mut self, now: Instant, operation: u64, result: Result<TableReply, PlatformError>) {
+    fn done(&mut self, now: Instant, operation: u64, result: Result<TableReply, StoreError>) {
         if self.call.is_none_or(|(number, _)| number != operation) {
             return;
         }
@@ -236,7 +236,7 @@
         }
     }
 
-    fn object_done(&mut self, operation: u64, result: &Result<ObjectReply, PlatformError>) {
+    fn object_done(&mut self, operation: u64, result: &Result<ObjectReply, StoreError>) {
         let is_current = self.call.is_some_and(|(number, _)| number == operation);
         if !is_current || self.step != Step::DeleteObject {
             return;
--- a/components/standin/src/main.rs
+++ b/components/standin/src/main.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use platform::HostEntry;
-use platform::HostState;
 use standin::engine::EngineOptions;
 use standin::engine::engine_options;
 use standin::forwarder::ForwarderOptions;
 use standin::forwarder::forwarder_options;
 use standin::plain::PlainOptions;
 use standin::plain::plain_options;
+use store::HostEntry;
+use store::HostState;
 
 /// Stand-ins for what surrounds chervilspool. For tests and the demo only.
 #[derive(Debug, Clone, Bpaf)]
--- a/components/standin/src/platform.rs
+++ b/components/standin/src/platform.rs
@@ -15,9 +15,9 @@
 use async_channel::Receiver;
 use futures_lite::io;
 use http::ServerLimits;
-use platform::HostEntry;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
+use store::HostEntry;
 
 pub use faults::Faults;
 pub use faults::Service;
--- a/components/standin/src/platform/faults.rs
+++ b/components/standin/src/platform/faults.rs
@@ -1,8 +1,8 @@
 //! Faults that the stand-in can be told to have.
 
-use platform::HostEntry;
 use serde::Deserialize;
 use serde::Serialize;
+use store::HostEntry;
 
 /// One of the platform's services.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/standin/src/platform/hosts.rs
+++ b/components/standin/src/platform/hosts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform::HostEntry;
+use store::HostEntry;
 
 /// The true list over time, as far back as it still shows.
 #[derive(Debug)]
--- a/components/platform/src/client.rs
+++ b/components/store/src/client.rs
@@ -14,8 +14,8 @@
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::utf8_percent_encode;
 
-use crate::PlatformError;
-use crate::PlatformFuture;
+use crate::StoreError;
+use crate::StoreFuture;
 use crate::hosts::HostEntry;
 use crate::hosts::HostList;
 use crate::objects::ObjectStore;
@@ -107,10 +107,10 @@
 }
 
 impl Table for HttpTable {
-    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply> {
+    fn call(&self, request: TableRequest) -> StoreFuture<'_, TableReply> {
         Box::pin(async move {
             let body = serde_json::to_vec(&request)
-                .map_err(|error| PlatformError::Unavailable(error.to_string()))?;
+                .map_err(|error| StoreError::Unavailable(error.to_string()))?;
             let response = self
                 .0
                 .send(Method::Post, "/table", Some((JSON, body)))
@@ -121,7 +121,7 @@
 }
 
 impl ObjectStore for HttpObjectStore {
-    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> PlatformFuture<'a, ()> {
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             let path = object_path(key);
             let response = self
@@ -132,7 +132,7 @@
         })
     }
 
-    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Vec<u8>>> {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let response = self.0.send(Method::Get, &object_path(key), None).await?;
             if response.status == StatusCode::NotFound {
@@ -142,7 +142,7 @@
         })
     }
 
-    fn delete<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, ()> {
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             let response = self.0.send(Method::Delete, &object_path(key), None).await?;
             if response.status == StatusCode::NotFound {
@@ -158,7 +158,7 @@
         &'a self,
         model: &'a str,
         version: &'a str,
-    ) -> PlatformFuture<'a, Option<Duration>> {
+    ) -> StoreFuture<'a, Option<Duration>> {
         Box::pin(async move {
             let path = format!("/weights/{}/{}", segment(model), segment(version));
             let response = self.0.send(Method::Post, &path, None).await?;
@@ -171,7 +171,7 @@
 }
 
 impl HostList for HttpHostList {
-    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>> {
+    fn hosts(&self) -> StoreFuture<'_, Vec<HostEntry>> {
         Box::pin(async move {
             let response = self.0.send(Method::Get, "/hosts", None).await?;
             decode(&expect_success(response)?)
@@ -204,7 +204,7 @@
         method: Method,
         path: &str,
         body: Option<(&str, Vec<u8>)>,
-    ) -> Result<WholeResponse, PlatformError> {
+    ) -> Result<WholeResponse, StoreError> {
         let mut request = self.client.request(method, path).map_err(client_error)?;
         if let Some((media_type, body)) = body {
             request.insert_header("content-type", media_type);
@@ -214,16 +214,16 @@
     }
 }
 
-fn client_error(error: ClientError) -> PlatformError {
+fn client_error(error: ClientError) -> StoreError {
     match error {
-        ClientError::NotSent { detail } => PlatformError::Unavailable(detail),
-        ClientError::Interrupted { detail } => PlatformError::Unanswered(detail),
+        ClientError::NotSent { detail } => StoreError::Unavailable(detail),
+        ClientError::Interrupted { detail } => StoreError::Unanswered(detail),
     }
 }
 
 /// Body of a successful answer. `503` and `429` mean that the call was refused; after any other
 /// server error it may have taken effect.
-fn expect_success(response: WholeResponse) -> Result<Vec<u8>, PlatformError> {
+fn expect_success(response: WholeResponse) -> Result<Vec<u8>, StoreError> {
     let status = response.status;
     if status.is_success() {
         return Ok(response.body);
@@ -234,15 +234,15 @@
         format!("status {status}: {start}")
     };
     Err(match status {
-        StatusCode::TooManyRequests => PlatformError::RateLimited,
-        StatusCode::ServiceUnavailable => PlatformError::Unavailable(detail()),
-        status if status.is_server_error() => PlatformError::Unanswered(detail()),
-        _ => PlatformError::Malformed(detail()),
+        StatusCode::TooManyRequests => StoreError::RateLimited,
+        StatusCode::ServiceUnavailable => StoreError::Unavailable(detail()),
+        status if status.is_server_error() => StoreError::Unanswered(detail()),
+        _ => StoreError::Malformed(detail()),
     })
 }
 
-fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Malformed(error.to_string()))
 }
 
 /// Time to wait from the problem document, which has milliseconds, or from `Retry-After`.
--- a/components/platform/src/error.rs
+++ b/components/store/src/error.rs
@@ -4,7 +4,7 @@
 
 /// A call that gave no usable answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The call never reached the service, or the service refused it: nothing happened.
     Unavailable(String),
     /// The answer is lost: a write may or may not have taken effect.
@@ -15,7 +15,7 @@
     Malformed(String),
 }
 
-impl fmt::Display for PlatformError {
+impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unavailable(detail) => write!(f, "platform unavailable: {detail}"),
@@ -26,4 +26,4 @@
     }
 }
 
-impl std::error::Error for PlatformError {}
+impl std::error::Error for StoreError {}
--- a/components/platform/src/guarded.rs
+++ b/components/store/src/guarded.rs
@@ -10,8 +10,8 @@
 use rand::rngs::StdRng;
 use types::Clock;
 
-use crate::PlatformError;
-use crate::PlatformFuture;
+use crate::StoreError;
+use crate::StoreFuture;
 use crate::budget::RateBudget;
 use crate::table::CommitOutcome;
 use crate::table::Put;
@@ -84,7 +84,7 @@
         }
     }
 
-    async fn read(&self, request: TableRequest) -> Result<TableReply, PlatformError> {
+    async fn read(&self, request: TableRequest) -> Result<TableReply, StoreError> {
         let mut retries = self.retries();
         loop {
             match self.try_once(request.clone()).await {
@@ -94,7 +94,7 @@
         }
     }
 
-    async fn commit(&self, transaction: Transaction) -> Result<TableReply, PlatformError> {
+    async fn commit(&self, transaction: Transaction) -> Result<TableReply, StoreError> {
         let mut retries = self.retries();
         let mut in_doubt = false;
         loop {
@@ -110,7 +110,7 @@
                 }
                 Ok(reply @ TableReply::Commit(_)) => return Ok(reply),
                 Ok(TableReply::Rows(_)) => {
-                    PlatformError::Malformed("rows in answer to a commit".to_owned())
+                    StoreError::Malformed("rows in answer to a commit".to_owned())
                 }
                 Err(error) => error,
             };
@@ -133,13 +133,13 @@
         &self,
         transaction: &Transaction,
         retries: &mut Retries,
-    ) -> Result<Option<CommitOutcome>, PlatformError> {
+    ) -> Result<Option<CommitOutcome>, StoreError> {
         let keys: Vec<String> = transaction.puts.iter().map(|put| put.key.clone()).collect();
         loop {
             let error = match self.try_once(TableRequest::Read(keys.clone())).await {
                 Ok(TableReply::Rows(rows)) => return Ok(proven(transaction, &rows)),
                 Ok(TableReply::Commit(_)) => {
-                    PlatformError::Malformed("commit outcome in answer to a read".to_owned())
+                    StoreError::Malformed("commit outcome in answer to a read".to_owned())
                 }
                 Err(error) => error,
             };
@@ -147,13 +147,13 @@
         }
     }
 
-    async fn try_once(&self, request: TableRequest) -> Result<TableReply, PlatformError> {
+    async fn try_once(&self, request: TableRequest) -> Result<TableReply, StoreError> {
         let now = self.context.clock.now();
         let wait = self
             .context
             .budget
             .take(now, &request)
-            .ok_or(PlatformError::RateLimited)?;
+            .ok_or(StoreError::RateLimited)?;
         if !wait.is_zero() {
             self.context.timer.sleep(wait).await;
         }
@@ -169,7 +169,7 @@
 }
 
 impl Table for Guarded {
-    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply> {
+    fn call(&self, request: TableRequest) -> StoreFuture<'_, TableReply> {
         match request {
             TableRequest::Commit(transaction) => Box::pin(self.commit(transaction)),
             read => Box::pin(self.read(read)),
@@ -185,7 +185,7 @@
 
 impl Retries {
     /// Waits before the next try, or gives up with `error`.
-    async fn pause(&mut self, guard: &Guarded, error: PlatformError) -> Result<(), PlatformError> {
+    async fn pause(&mut self, guard: &Guarded, error: StoreError) -> Result<(), StoreError> {
         let share = guard.random.borrow_mut().random_range(0.5..=1.0);
         let pause = self.bound_ms.mul_f64(share);
         if guard.context.clock.now() + pause >= self.until {
@@ -198,17 +198,14 @@
 }
 
 /// Whether a commit that ended with this error may have taken effect.
-fn is_doubtful(error: &PlatformError) -> bool {
-    matches!(
-        error,
-        PlatformError::Unanswered(_) | PlatformError::Malformed(_)
-    )
+fn is_doubtful(error: &StoreError) -> bool {
+    matches!(error, StoreError::Unanswered(_) | StoreError::Malformed(_))
 }
 
-fn unanswered(error: PlatformError) -> PlatformError {
+fn unanswered(error: StoreError) -> StoreError {
     match error {
-        PlatformError::Unanswered(_) => error,
-        other => PlatformError::Unanswered(other.to_string()),
+        StoreError::Unanswered(_) => error,
+        other => StoreError::Unanswered(other.to_string()),
     }
 }
 
--- a/components/platform/src/hosts.rs
+++ b/components/store/src/hosts.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 use types::HostName;
 
-use crate::PlatformFuture;
+use crate::StoreFuture;
 
 /// State of a host according to the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,5 +28,5 @@
 /// The host list service.
 pub trait HostList {
     /// The whole list as of some seconds ago.
-    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>>;
+    fn hosts(&self) -> StoreFuture<'_, Vec<HostEntry>>;
 }
--- a/components/platform/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform's services: table, object store, weight store and host list.
+//! Services that keep what must last: table, object store, weight store and host list.
 //!
 //! Everything that must be agreed or must last goes through the table by conditional
 //! transactions. Each service is a trait; the HTTP clients, the implementations in memory and
@@ -24,7 +24,7 @@
 pub use client::HttpOptions;
 pub use client::HttpTable;
 pub use client::HttpWeightStore;
-pub use error::PlatformError;
+pub use error::StoreError;
 pub use guarded::GuardContext;
 pub use guarded::Guarded;
 pub use guarded::RetryOptions;
@@ -56,5 +56,4 @@
 pub use weights::WeightStore;
 
 /// Future of a call to the platform; every process runs on one thread.
-pub type PlatformFuture<'a, T> =
-    std::pin::Pin<Box<dyn Future<Output = Result<T, PlatformError>> + 'a>>;
+pub type StoreFuture<'a, T> = std::pin::Pin<Box<dyn Future<Output = Result<T, StoreError>> + 'a>>;
--- a/components/platform/src/memory.rs
+++ b/components/store/src/memory.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::PlatformError;
-use crate::PlatformFuture;
+use crate::StoreError;
+use crate::StoreFuture;
 use crate::rows::Rows;
 use crate::rows::TableCounters;
 use crate::table::Row;
@@ -124,19 +124,19 @@
         }
     }
 
-    async fn answer(&self, request: TableRequest) -> Result<TableReply, PlatformError> {
+    async fn answer(&self, request: TableRequest) -> Result<TableReply, StoreError> {
         if let (Some(timer), false) = (&self.timer, self.delay_ms.get().is_zero()) {
             timer.sleep(self.delay_ms.get()).await;
         }
         self.run_due();
         if self.outage.get() {
-            return Err(PlatformError::Unavailable("outage".to_owned()));
+            return Err(StoreError::Unavailable("outage".to_owned()));
         }
         let fault = self.script.borrow_mut().pop_front().unwrap_or_default();
-        let lost = || Err(PlatformError::Unanswered("reply lost".to_owned()));
+        let lost = || Err(StoreError::Unanswered("reply lost".to_owned()));
         match fault {
             CallFault::None => Ok(self.apply(&request)),
-            CallFault::Unavailable => Err(PlatformError::Unavailable("scripted".to_owned())),
+            CallFault::Unavailable => Err(StoreError::Unavailable("scripted".to_owned())),
             CallFault::LostRequest => lost(),
             CallFault::LostReply => {
                 self.apply(&request);
@@ -151,7 +151,7 @@
 }
 
 impl Table for MemoryTable {
-    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply> {
+    fn call(&self, request: TableRequest) -> StoreFuture<'_, TableReply> {
         Box::pin(self.answer(request))
     }
 }
--- a/components/platform/src/memory_services.rs
+++ b/components/store/src/memory_services.rs
@@ -9,8 +9,8 @@
 
 use types::Clock;
 
-use crate::PlatformError;
-use crate::PlatformFuture;
+use crate::StoreError;
+use crate::StoreFuture;
 use crate::hosts::HostEntry;
 use crate::hosts::HostList;
 use crate::objects::ObjectStore;
@@ -38,16 +38,16 @@
     fn with<T>(
         &self,
         call: impl FnOnce(&mut BTreeMap<String, Vec<u8>>) -> T,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, StoreError> {
         if self.outage.get() {
-            return Err(PlatformError::Unavailable("outage".to_owned()));
+            return Err(StoreError::Unavailable("outage".to_owned()));
         }
         Ok(call(&mut self.objects.borrow_mut()))
     }
 }
 
 impl ObjectStore for MemoryObjectStore {
-    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> PlatformFuture<'a, ()> {
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             self.with(|objects| {
                 objects.insert(key.to_owned(), bytes);
@@ -55,11 +55,11 @@
         })
     }
 
-    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Vec<u8>>> {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move { self.with(|objects| objects.get(key).cloned()) })
     }
 
-    fn delete<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, ()> {
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             self.with(|objects| {
                 objects.remove(key);
@@ -92,7 +92,7 @@
         &'a self,
         _model: &'a str,
         _version: &'a str,
-    ) -> PlatformFuture<'a, Option<Duration>> {
+    ) -> StoreFuture<'a, Option<Duration>> {
         let now = self.clock.now();
         let wait = self
             .free_at
@@ -132,10 +132,10 @@
 }
 
 impl HostList for MemoryHostList {
-    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>> {
+    fn hosts(&self) -> StoreFuture<'_, Vec<HostEntry>> {
         Box::pin(async move {
             if self.outage.get() {
-                return Err(PlatformError::Unavailable("outage".to_owned()));
+                return Err(StoreError::Unavailable("outage".to_owned()));
             }
             Ok(self.hosts.borrow().clone())
         })
--- a/components/platform/src/objects.rs
+++ b/components/store/src/objects.rs
@@ -1,16 +1,16 @@
 //! The object store, for answers too large for a table row.
 
-use crate::PlatformError;
-use crate::PlatformFuture;
+use crate::StoreError;
+use crate::StoreFuture;
 
 /// The object store service.
 pub trait ObjectStore {
     /// Stores an object under a key that is never reused for other content.
-    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> PlatformFuture<'a, ()>;
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> StoreFuture<'a, ()>;
     /// Reads an object; `None` if there is none.
-    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Vec<u8>>>;
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Vec<u8>>>;
     /// Deletes an object, if there is one.
-    fn delete<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, ()>;
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()>;
 }
 
 /// One call to the object store, as state machines ask for it.
@@ -55,7 +55,7 @@
 pub async fn call(
     store: &dyn ObjectStore,
     request: ObjectRequest,
-) -> Result<ObjectReply, PlatformError> {
+) -> Result<ObjectReply, StoreError> {
     match request {
         ObjectRequest::Put { key, bytes } => {
             store.put(&key, bytes).await.map(|()| ObjectReply::Stored)
--- a/components/platform/src/table.rs
+++ b/components/store/src/table.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::PlatformFuture;
+use crate::StoreFuture;
 
 /// Version of a row; a write gives it the next one. 0 stands for an absent row.
 pub type RowVersion = u64;
@@ -91,5 +91,5 @@
 /// The table service.
 pub trait Table {
     /// Makes one call.
-    fn call(&self, request: TableRequest) -> PlatformFuture<'_, TableReply>;
+    fn call(&self, request: TableRequest) -> StoreFuture<'_, TableReply>;
 }
--- a/components/platform/src/weights.rs
+++ b/components/store/src/weights.rs
@@ -3,14 +3,11 @@
 
 use std::time::Duration;
 
-use crate::PlatformFuture;
+use crate::StoreFuture;
 
 /// The weight store service.
 pub trait WeightStore {
     /// Asks to load a model version now. `None` grants it; otherwise the time to wait.
-    fn reserve<'a>(
-        &'a self,
-        model: &'a str,
-        version: &'a str,
-    ) -> PlatformFuture<'a, Option<Duration>>;
+    fn reserve<'a>(&'a self, model: &'a str, version: &'a str)
+    -> StoreFuture<'a, Option<Duration>>;
 }
--- a/examples/chaos/faults.rs
+++ b/examples/chaos/faults.rs
@@ -7,8 +7,6 @@
 use std::time::Instant;
 
 use http_types::Method;
-use platform::HostEntry;
-use platform::HostState;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,6 +14,8 @@
 use serde_json::json;
 use smol::Timer;
 use standin::engine::EngineCounters;
+use store::HostEntry;
+use store::HostState;
 use testbed::Deployment;
 use testbed::call;
 use types::OrderKind;
--- a/examples/soak/entries.rs
+++ b/examples/soak/entries.rs
@@ -14,9 +14,9 @@
 use entry::core::EntryCore;
 use entry::core::Event;
 use entry::core::Note;
-use platform::Guarded;
-use platform::PlatformError;
-use platform::Table;
+use store::Guarded;
+use store::StoreError;
+use store::Table;
 use types::Incarnation;
 use types::OrderKind;
 use wire::ToAgent;
@@ -226,7 +226,7 @@
             Action::ReadHosts => {
                 let now = self.now();
                 let result = if self.entries[at].cut.get() {
-                    Err(PlatformError::Unavailable("no connection".to_owned()))
+                    Err(StoreError::Unavailable("no connection".to_owned()))
                 } else {
                     Ok(self.hosts.list(now))
                 };
@@ -283,7 +283,7 @@
         at: usize,
         run: Incarnation,
         operation: u64,
-        request: platform::TableRequest,
+        request: store::TableRequest,
     ) {
         let Some(table) = self.entries[at].table.clone() else {
             return;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use fakes::TableFaults;
-use platform::HostState;
 use rand::RngExt;
+use store::HostState;
 use types::OrderKind;
 
 use crate::repair::Repair;
--- a/examples/soak/roles.rs
+++ b/examples/soak/roles.rs
@@ -7,7 +7,7 @@
 
 use control::Versioned;
 use control::keys;
-use platform::Rows;
+use store::Rows;
 use types::Change;
 use types::ChangeBody;
 use types::Order;
--- a/examples/soak/withdrawal.rs
+++ b/examples/soak/withdrawal.rs
@@ -67,7 +67,7 @@
         self.count("withdrawn targets followed by new ones");
         let fresh: AgentHost = self.new_agent_host(at, generation);
         self.hosts
-            .set(now, &fresh.host, Some(platform::HostState::Live));
+            .set(now, &fresh.host, Some(store::HostState::Live));
         self.agents[at] = fresh;
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,7 +28,13 @@
         footer("Example: chervilspool agent --settings /etc/chervilspool/agent.jsonc")
     )]
     Agent(#[bpaf(external(settings_file))] PathBuf),
-    /// Check the settings of either daemon without starting it
+    /// Run the daemon of a front host on the users' platform
+    #[bpaf(
+        command,
+        footer("Example: CHERVILSPOOL_BOOT=local.toml chervilspool gateway")
+    )]
+    Gateway(#[bpaf(external(boot_file))] PathBuf),
+    /// Check the settings of a daemon without starting it; files in TOML are the platform's
     #[bpaf(
         command,
         footer("Example: chervilspool check --settings examples/settings/kitagawa-entry.jsonc")
@@ -91,6 +97,13 @@
         .argument("FILE")
 }
 
+fn boot_file() -> impl bpaf::Parser<PathBuf> {
+    bpaf::long("settings")
+        .env(platform::BOOT_VARIABLE)
+        .help("The platform's settings file, in TOML")
+        .argument("FILE")
+}
+
 /// How an entry is reached.
 #[derive(Debug, Clone, Bpaf)]
 pub struct EntryOptions {
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -25,7 +25,17 @@
     ended(agent::run(settings, file))
 }
 
+pub(super) fn gateway(file: &Path) -> CommandResult {
+    ended(platform::run_gateway(file))
+}
+
 pub(super) fn check(file: &Path) -> CommandResult {
+    if file
+        .extension()
+        .is_some_and(|extension| extension == "toml")
+    {
+        return check_boot(file);
+    }
     let summary = match settings::load(file)? {
         Loaded::Entry(entry) => format!("entry `{}`", entry.name),
         Loaded::Agent(agent) => format!("agent of target `{}`", agent.target.name),
@@ -34,6 +44,18 @@
     Ok(())
 }
 
+fn check_boot(file: &Path) -> CommandResult {
+    let boot = platform::Boot::load(file).map_err(|error| Failure::new(EXIT_FAILED, error))?;
+    let settings = boot.gateway();
+    let settings = settings.map_err(|error| Failure::new(EXIT_FAILED, error))?;
+    println!(
+        "{}: valid settings of gateway `{}`",
+        file.display(),
+        settings.host
+    );
+    Ok(())
+}
+
 fn ended(result: eyre::Result<()>) -> CommandResult {
     result.map_err(|report| Failure::new(EXIT_FAILED, format!("{report:#}")))
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -27,6 +27,7 @@
     let result = match cli {
         Cli::Entry(file) => daemon::entry(&file),
         Cli::Agent(file) => daemon::agent(&file),
+        Cli::Gateway(file) => daemon::gateway(&file),
         Cli::Check(file) => daemon::check(&file),
         Cli::Profile(command) => smol::block_on(profile::run(command)),
         Cli::Service(command) => smol::block_on(service::run(command)),
