--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -742,6 +742,8 @@
         let aim_ms = active.route.aim_ms.as_secs_f64() * 1e3;
         let prospect = Prospect {
             first_event_ms: choice.first_event_ms,
+            wait_ms: choice.wait_ms,
+            events_ms: choice.events_ms,
             aim_left_ms: aim_ms - waited_ms,
             aim_ms,
             left_ms: active.left(now).as_secs_f64() * 1e3,
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -25,6 +25,8 @@
 const TRANSFER_SETUP_MS: f64 = 6.0;
 /// Factor on transfers between data centres; the same as the engines' links have.
 const REMOTE_TRANSFER_FACTOR: f64 = 2.0;
+/// Streams of an engine that decodes, for the duration of an answer.
+const TYPICAL_STREAMS: f64 = 12.0;
 /// Engine time of a run on a plain service, to compare loads with failures.
 const PLAIN_RUN_MS: f64 = 15.0;
 /// Time that a target in another data centre adds to a call of a plain service.
@@ -41,6 +43,10 @@
     pub role: Role,
     /// Expected time from now to the first event.
     pub first_event_ms: f64,
+    /// Part of it that is spent behind other readings.
+    pub wait_ms: f64,
+    /// Expected time from the first to the last event.
+    pub events_ms: f64,
     /// Engine time of the reading at nominal speed.
     pub reading_ms: f64,
     /// Tokens that the target has to read.
@@ -108,6 +114,8 @@
         target: member.entry.name.clone(),
         role: member.entry.role,
         first_event_ms,
+        wait_ms: reading_ms * member.slowness,
+        events_ms: f64::from(need.work.output_tokens()) * speed::step_ms(TYPICAL_STREAMS),
         reading_ms: nominal_ms,
         new_tokens: reading.new_tokens as u64,
     };
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -33,10 +33,21 @@
     pub prompt_tokens: u32,
     /// Largest size of the answer.
     pub output_limit_tokens: u32,
+    /// Size of the answer that the caller expects, if it says so; right at the median.
+    pub output_hint_tokens: Option<u32>,
     /// Parts of the prompt, in order; the last one is the request's own.
     pub parts: SmallVec<[PromptPart; 4]>,
 }
 
+impl ModelWork {
+    /// Expected size of the answer.
+    #[must_use]
+    pub fn output_tokens(&self) -> u32 {
+        let limit = self.output_limit_tokens;
+        self.output_hint_tokens.map_or(limit, |hint| hint.min(limit))
+    }
+}
+
 /// A caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerRequest {
