--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -20,7 +20,9 @@
 use crate::speed::Reading;
 
 /// Weight of the engine time that a choice takes, beside its own time to the first event.
-const WORK_WEIGHT: f64 = 0.5;
+const WORK_WEIGHT: f64 = 1.0;
+/// The same on an engine that also decodes, whose streams and arriving transfers wait meanwhile.
+const SHARED_WORK_WEIGHT: f64 = 4.0;
 /// Time that a transfer between two engines adds beside its bytes.
 const TRANSFER_SETUP_MS: f64 = 6.0;
 /// Factor on transfers between data centres; the same as the engines' links have.
@@ -108,7 +110,8 @@
     };
     let first_event_ms =
         reading_ms * member.slowness + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
-    let rating = first_event_ms + WORK_WEIGHT * own_ms + FAILURE_MS * member.failures;
+    let work_weight = if is_prefill { WORK_WEIGHT } else { SHARED_WORK_WEIGHT };
+    let rating = first_event_ms + work_weight * own_ms + FAILURE_MS * member.failures;
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
     let choice = Choice {
         target: member.entry.name.clone(),
@@ -163,7 +166,7 @@
         let missing = prompt_tokens - cached_tokens(member, hints, facts, need);
         let moved_ms = factor * transfer_ms(facts, missing.max(0.0));
         // A stream gets its first event a few steps after its memory has arrived.
-        let start_ms = speed::step_ms(runs) * 2.0 + reading_ms * 0.5;
+        let start_ms = speed::step_ms(runs) * 2.0 + reading_ms * 2.0;
         let full_ms = if runs >= f64::from(facts.slots) {
             1e4
         } else {
