--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -22,7 +22,7 @@
 /// Weight of the engine time that a choice takes, beside its own time to the first event.
 const WORK_WEIGHT: f64 = 1.0;
 /// The same on an engine that also decodes, whose streams and arriving transfers wait meanwhile.
-const SHARED_WORK_WEIGHT: f64 = 4.0;
+const SHARED_WORK_WEIGHT: f64 = 2.5;
 /// Time that a transfer between two engines adds beside its bytes.
 const TRANSFER_SETUP_MS: f64 = 6.0;
 /// Factor on transfers between data centres; the same as the engines' links have.
