--- a/components/testbed/src/daemon.rs
+++ b/components/testbed/src/daemon.rs
@@ -6,7 +6,7 @@
 /// First argument of a program that is to run as a daemon.
 pub const DAEMON: &str = "daemon";
 
-/// Runs as a daemon if the arguments say so: `daemon entry|agent FILE`.
+/// Runs as a daemon if the arguments say so: `daemon entry|agent|gateway FILE`.
 #[must_use]
 pub fn run_if_daemon() -> Option<ExitCode> {
     let arguments: Vec<String> = std::env::args().collect();
@@ -26,8 +26,9 @@
 }
 
 fn run(kind: &str, file: &Path) -> eyre::Result<()> {
-    if kind == "entry" {
-        return entry::run(settings::load_entry(file)?, file);
+    match kind {
+        "entry" => entry::run(settings::load_entry(file)?, file),
+        "gateway" => platform::run_gateway(file),
+        _ => agent::run(settings::load_agent(file)?, file),
     }
-    agent::run(settings::load_agent(file)?, file)
 }
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 mod configuration;
 pub mod daemon;
 pub mod deployment;
+pub mod gateways;
 pub mod process;
 pub mod standins;
 
@@ -14,4 +15,5 @@
 pub use deployment::Deployment;
 pub use deployment::Plan;
 pub use deployment::call;
+pub use gateways::GatewayBed;
 pub use process::Process;
--- a/components/testbed/src/process.rs
+++ b/components/testbed/src/process.rs
@@ -28,7 +28,7 @@
 }
 
 impl Process {
-    /// Starts a program; its standard error goes to a log file.
+    /// Starts a program; its output goes to a log file.
     ///
     /// # Errors
     ///
@@ -61,10 +61,13 @@
             .append(true)
             .open(&self.log)
             .wrap_err_with(|| format!("cannot write {}", self.log.display()))?;
+        let output = log
+            .try_clone()
+            .wrap_err_with(|| format!("cannot write {}", self.log.display()))?;
         let child = Command::new(&self.program)
             .args(&self.arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .wrap_err_with(|| {
