--- /dev/null
+++ b/examples/gateways/faults.rs
@@ -0,0 +1,158 @@
+//! Faults, one after the other, some of them while an earlier one lasts.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use smol::Timer;
+use standin::feed_store::StoreMode;
+use standin::forwarder::Direction;
+use standin::forwarder::Mode;
+use standin::forwarder::Silence;
+use standin::staged_engine::EngineMode;
+use standin::staged_engine::Stage;
+use testbed::GatewayBed;
+
+use crate::verdict::Verdict;
+
+/// Bounds of the time from one fault to the next.
+const PAUSE_MS: std::ops::Range<u64> = 100..900;
+/// Bounds of the time that a fault lasts.
+const LASTS_MS: std::ops::Range<u64> = 200..3_500;
+
+enum Repair {
+    Resume(usize),
+    Restart(usize),
+    StoreLink(usize),
+    Store,
+    Engines,
+    Register(String),
+}
+
+/// Injects faults until a moment, and repairs all of them.
+pub async fn inject(
+    bed: &mut GatewayBed,
+    verdict: &Rc<RefCell<Verdict>>,
+    mut random: StdRng,
+    until: Instant,
+) -> eyre::Result<()> {
+    let mut repairs: Vec<(Instant, Repair)> = Vec::new();
+    let mut version = 1;
+    while Instant::now() < until {
+        Timer::after(Duration::from_millis(random.random_range(PAUSE_MS))).await;
+        let now = Instant::now();
+        let (due, rest) = repairs.into_iter().partition(|(at, _)| *at <= now);
+        repairs = rest;
+        repair(bed, due).await?;
+        let lasts = Duration::from_millis(random.random_range(LASTS_MS));
+        let gateway = random.random_range(0..bed.gateways.len());
+        let is_faulty = repairs.iter().any(|(_, repair)| {
+            matches!(repair, Repair::Resume(at) | Repair::Restart(at) if *at == gateway)
+        });
+        let (name, undo) = match random.random_range(0..12) {
+            0 | 1 if !is_faulty => {
+                bed.gateways[gateway].process.kill();
+                ("gateway killed", Some(Repair::Restart(gateway)))
+            }
+            2 if !is_faulty => {
+                bed.gateways[gateway].process.pause();
+                ("gateway paused", Some(Repair::Resume(gateway)))
+            }
+            3 if !is_faulty => {
+                stop(bed, verdict, gateway).await?;
+                ("gateway stopped", None)
+            }
+            4 => {
+                let direction = match random.random_range(0..3) {
+                    0 => Direction::Both,
+                    1 => Direction::ToTarget,
+                    _ => Direction::FromTarget,
+                };
+                let mode = Mode {
+                    silence: Silence::All,
+                    direction,
+                    link: None,
+                };
+                bed.set_store_link(gateway, mode).await?;
+                ("store link silent", Some(Repair::StoreLink(gateway)))
+            }
+            5 => {
+                let mode = Mode {
+                    silence: Silence::Existing,
+                    ..Mode::default()
+                };
+                bed.set_store_link(gateway, mode).await?;
+                ("open connections to the store silent for good", None)
+            }
+            6 => {
+                bed.store.set_mode(StoreMode::Silent);
+                ("store silent", Some(Repair::Store))
+            }
+            7 => {
+                bed.store.set_mode(StoreMode::Busy);
+                ("store busy", Some(Repair::Store))
+            }
+            8 => {
+                bed.store.drop_history();
+                version += random.random_range(1..5);
+                bed.configure(version, &[]);
+                ("configuration changed without history", None)
+            }
+            9 => {
+                let at = random.random_range(0..bed.engines.len());
+                let engine = bed.engines[at].0.name.clone();
+                bed.register(&engine, "draining");
+                verdict.borrow_mut().leaves(&engine, now, now + lasts);
+                ("engine leaving", Some(Repair::Register(engine)))
+            }
+            _ => {
+                let mode = [
+                    EngineMode::Full,
+                    EngineMode::LosesAnswers,
+                    EngineMode::Silent,
+                    EngineMode::BreaksStreams,
+                    EngineMode::Repeats,
+                    EngineMode::Fails,
+                ][random.random_range(0..6)];
+                let stage = [Stage::Plain, Stage::Prefill, Stage::Decode];
+                let stage = stage[random.random_range(0..3)];
+                bed.set_mode(Some(stage), mode);
+                ("engines misbehave", Some(Repair::Engines))
+            }
+        };
+        verdict.borrow_mut().count_fault(name);
+        repairs.extend(undo.map(|undo| (now + lasts, undo)));
+    }
+    repair(bed, repairs).await
+}
+
+/// A planned stop, during which callers go on, and a new start.
+async fn stop(
+    bed: &mut GatewayBed,
+    verdict: &Rc<RefCell<Verdict>>,
+    gateway: usize,
+) -> eyre::Result<()> {
+    let process = &mut bed.gateways[gateway].process;
+    if !process.stop().await {
+        let violation = format!("{} did not stop by itself", process.name());
+        verdict.borrow_mut().violations.push(violation);
+    }
+    process.restart()
+}
+
+async fn repair(bed: &mut GatewayBed, due: Vec<(Instant, Repair)>) -> eyre::Result<()> {
+    for (_, repair) in due {
+        match repair {
+            Repair::Resume(at) => bed.gateways[at].process.resume(),
+            Repair::Restart(at) => bed.gateways[at].process.restart()?,
+            Repair::StoreLink(at) => bed.set_store_link(at, Mode::default()).await?,
+            Repair::Store => bed.store.set_mode(StoreMode::Well),
+            Repair::Engines => bed.set_mode(None, EngineMode::Well),
+            Repair::Register(engine) => bed.register(&engine, "ready"),
+        }
+    }
+    Ok(())
+}
