--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -26,6 +26,9 @@
 pub const PEER_SILENCE_MS: Duration = Duration::from_millis(1_500);
 /// Time for which a target that could not be connected to gets no work.
 const UNREACHABLE_MS: Duration = Duration::from_secs(1);
+/// Durations of the first ejection and of the longest one. Engines that crash are back within
+/// about five seconds.
+const EJECTION_MS: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(6));
 /// Weight of one more reading in the running mean of a target's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.15;
 /// Bounds of the running mean; a reading that was held up by a fault says little of the speed.
@@ -126,6 +129,8 @@
     New,
     /// Takes no new work from now on.
     Leaving,
+    /// Takes new work again.
+    Back,
     /// Its entry is missing just after an outage of the store; it is used for a while.
     Missing,
     /// Removed.
@@ -170,15 +175,21 @@
     }
 
     /// Targets of a service that may get new work. Those that seem unwell are left out unless all
-    /// are.
+    /// of their role are.
     #[must_use]
     pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&Member> {
         let open = self
             .members
             .values()
             .filter(|member| member.entry.service == *service && !member.entry.is_leaving);
-        let (well, unwell): (Vec<_>, Vec<_>) = open.partition(|member| member.is_well(now));
-        if well.is_empty() { unwell } else { well }
+        let (mut usable, unwell): (Vec<_>, Vec<_>) = open.partition(|member| member.is_well(now));
+        let roles: Vec<_> = usable.iter().map(|member| member.entry.role).collect();
+        // An engine of one role cannot stand in for one of another.
+        let alone = unwell
+            .into_iter()
+            .filter(|m| !roles.contains(&m.entry.role));
+        usable.extend(alone);
+        usable
     }
 
     /// The store stopped answering.
@@ -199,10 +210,13 @@
             let is_same_run =
                 member.entry.born_ms == entry.born_ms && member.entry.address == entry.address;
             if is_same_run {
-                let starts_leaving = entry.is_leaving && !member.entry.is_leaving;
-                member.entry = entry;
-                member.missing_since = None;
-                return starts_leaving.then_some(Belief::Leaving);
+                let was_leaving = std::mem::replace(&mut member.entry, entry).is_leaving;
+                let was_missing = member.missing_since.take().is_some();
+                return match (was_leaving, member.entry.is_leaving) {
+                    (false, true) => Some(Belief::Leaving),
+                    (true, false) => Some(Belief::Back),
+                    _ => was_missing.then_some(Belief::Back),
+                };
             }
             self.hints.forget(member.holder);
         }
@@ -341,7 +355,8 @@
         let member = self.members.get_mut(name)?;
         member.failures += FAILURE_WEIGHT * (1.0 - member.failures);
         if member.ejection.failed() {
-            member.ejection.eject(now);
+            let (first, longest) = EJECTION_MS;
+            member.ejection.eject_within(now, first, longest);
             return Some(Belief::Ejected);
         }
         None
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -117,7 +117,10 @@
     /// Writes lines to standard output until the process ends.
     pub async fn run(self) {
         let stdout = io::stdout();
-        if let Err(cause) = rustix::fs::fcntl_setfl(&stdout, OFlags::NONBLOCK) {
+        // Other flags, such as that of a file that is appended to, stay.
+        let flags = rustix::fs::fcntl_getfl(&stdout);
+        let set = flags.and_then(|f| rustix::fs::fcntl_setfl(&stdout, f | OFlags::NONBLOCK));
+        if let Err(cause) = set {
             warn!(self.logger, "standard output may block"; "code" => "CS5009",
                 "detail" => cause.to_string());
         }
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::MODEL_SERVICE;
 use common::PLAIN_SERVICE;
 use common::target;
 use common::targets;
@@ -146,3 +147,31 @@
     fail(&mut fleet, "desk-2");
     assert_eq!(names(&fleet, now).len(), 2);
 }
+
+#[test]
+fn role_whose_targets_all_fail_is_not_shut_out_while_another_role_is_well() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    for name in ["write-1", "write-2", "write-3"] {
+        for _ in 0..10 {
+            fleet.failed(now, name);
+        }
+    }
+    let usable = fleet.usable(&MODEL_SERVICE.to_owned(), now);
+    let roles: Vec<_> = usable.iter().map(|m| m.entry.role).collect();
+    assert!(
+        roles.contains(&Role::Prefill) && roles.contains(&Role::Decode),
+        "{roles:?}"
+    );
+}
+
+#[test]
+fn failing_target_is_tried_again_within_seconds_however_often_it_failed() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    for _ in 0..100 {
+        fleet.failed(now, "desk-1");
+    }
+    assert_eq!(names(&fleet, now), ["desk-2"]);
+    assert_eq!(names(&fleet, now + Duration::from_secs(6)).len(), 2);
+}
--- a/components/routing/src/ejection.rs
+++ b/components/routing/src/ejection.rs
@@ -42,8 +42,13 @@
 
     /// Ejects the target.
     pub fn eject(&mut self, now: Instant) {
-        let duration = FIRST_MS.saturating_mul(1 << self.times.min(8));
-        self.until = Some(now + duration.min(LONGEST_MS));
+        self.eject_within(now, FIRST_MS, LONGEST_MS);
+    }
+
+    /// Ejects the target; the duration doubles from `first` with each time, up to `longest`.
+    pub fn eject_within(&mut self, now: Instant, first: Duration, longest: Duration) {
+        let duration = first.saturating_mul(1 << self.times.min(8));
+        self.until = Some(now + duration.min(longest));
         self.times += 1;
         self.consecutive = 0;
         self.outcomes = 0;
