--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -12,7 +12,7 @@
 /// Longest wait behind others, relative to the time that counts as on time.
 const WAIT_FACTOR: f64 = 0.8;
 /// Part of the time left by which the last event is expected.
-const LEFT_PART: f64 = 0.9;
+const LEFT_PART: f64 = 0.75;
 /// Least time until a refused request may come back.
 const LEAST_RETURN_MS: f64 = 100.0;
 /// Range over which the returns of refused requests are spread.
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -1,5 +1,6 @@
 //! What the end of a call means for its target and its request.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::core::Core;
@@ -16,6 +17,10 @@
 use crate::note::Note;
 use crate::protocol::Transfer;
 
+/// Time without an answer that speaks against a target; the sheets give plain requests some ten
+/// milliseconds of work.
+const SILENCE_MS: Duration = Duration::from_millis(500);
+
 impl Core {
     /// A call has ended; returns what to do next.
     pub fn outcome(&mut self, now: Instant, number: RequestNumber, outcome: Outcome) -> Decision {
@@ -56,6 +61,8 @@
                 ..
             } => self.fleet.replaced_process(now, target),
             Outcome::NotSent { .. } => self.fleet.unreachable(now, target),
+            // A route may give a request less time than its work takes.
+            Outcome::TimedOut { is_started: false } if took < SILENCE_MS => {}
             Outcome::Answered { .. }
             | Outcome::Failed { .. }
             | Outcome::Lost { .. }
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -74,11 +74,6 @@
     facts: &EngineFacts,
     need: &Need<'_>,
 ) -> Option<Choice> {
-    let least_reading_ms = members
-        .iter()
-        .filter(|member| member.entry.role != Role::Prefill)
-        .map(|member| member.load().reading_ms * member.slowness)
-        .fold(f64::INFINITY, f64::min);
     let has_decoder = members
         .iter()
         .any(|member| member.entry.role != Role::Prefill);
@@ -86,7 +81,7 @@
         !need.refused_by.contains(&member.entry.name)
             && (member.entry.role != Role::Prefill || has_decoder)
     });
-    let choices = candidates.map(|member| rate(member, hints, facts, need, least_reading_ms));
+    let choices = candidates.map(|member| rate(member, hints, facts, need));
     let best = choices.min_by(|(a, _), (b, _)| a.total_cmp(b));
     best.map(|(_, choice)| choice)
 }
@@ -97,7 +92,6 @@
     hints: &PrefixHints,
     facts: &EngineFacts,
     need: &Need<'_>,
-    least_reading_ms: f64,
 ) -> (f64, Choice) {
     let prompt_tokens = f64::from(need.work.prompt_tokens);
     let cached_tokens = cached_tokens(member, hints, facts, need).min(prompt_tokens - 1.0);
@@ -110,8 +104,7 @@
     let nominal_ms = reading.work_ms(member.entry.role, if is_prefill { 0.0 } else { runs });
     let own_ms = nominal_ms * member.slowness;
     let transfer_ms = if is_prefill {
-        // The engine that goes on reads what waits there before the transfer takes part.
-        TRANSFER_SETUP_MS + transfer_ms(facts, prompt_tokens) + least_reading_ms
+        TRANSFER_SETUP_MS + transfer_ms(facts, prompt_tokens)
     } else {
         0.0
     };
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -273,3 +273,23 @@
     assert_eq!(core.in_flight(), 0);
     assert!(core.fleet.own_loads().is_empty());
 }
+
+#[test]
+fn target_is_not_blamed_for_a_route_with_less_time_than_its_work_takes() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let brief = Duration::from_millis(30);
+    for _ in 0..40 {
+        let mut request = gateway::protocol::CallerRequest::clone(&plain("/order/1"));
+        request.patience_ms = brief;
+        let (number, decision) = core.start(now, Rc::new(request));
+        call(decision);
+        let over = Outcome::TimedOut { is_started: false };
+        core.outcome(now + brief, number, over);
+    }
+    let usable = core
+        .fleet
+        .usable(&common::PLAIN_SERVICE.to_owned(), now + brief);
+    assert_eq!(usable.len(), 2);
+    assert!(usable.iter().all(|member| member.failures.abs() < 1e-9));
+}
