--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -29,6 +29,9 @@
 const REMOTE_TRANSFER_FACTOR: f64 = 2.0;
 /// Streams of an engine that decodes, for the duration of an answer.
 const TYPICAL_STREAMS: f64 = 12.0;
+/// Most that the spreading of beginnings over equal targets adds. It is less than any reading of a
+/// shared beginning takes.
+const SPREAD_MS: f64 = 60.0;
 /// Engine time of a run on a plain service, to compare loads with failures.
 const PLAIN_RUN_MS: f64 = 15.0;
 /// Time that a target in another data centre adds to a call of a plain service.
@@ -115,7 +118,10 @@
     } else {
         SHARED_WORK_WEIGHT
     };
-    let rating = first_event_ms + work_weight * own_ms + FAILURE_MS * member.failures;
+    let rating = first_event_ms
+        + work_weight * own_ms
+        + FAILURE_MS * member.failures
+        + SPREAD_MS * spread(member, need);
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
     let choice = Choice {
         target: member.entry.name.clone(),
@@ -129,6 +135,15 @@
     (rating, choice)
 }
 
+/// Number from 0 to 1 that is the same in all processes for one prompt's beginning and one target.
+#[allow(clippy::cast_precision_loss)]
+fn spread(member: &Member, need: &Need<'_>) -> f64 {
+    let own_part = need.work.parts.last().map_or(0, |part| part.id);
+    let beginning = need.hashes.last().copied().unwrap_or(own_part);
+    let mixed = (beginning ^ member.key).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    (mixed >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 fn cached_tokens(
     member: &Member,
     hints: &PrefixHints,
