--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -13,6 +13,8 @@
 const WAIT_FACTOR: f64 = 0.8;
 /// Part of the time left by which the last event is expected.
 const LEFT_PART: f64 = 0.75;
+/// Part of the time without an event that callers bear in which the first one is expected.
+const SILENCE_PART: f64 = 0.9;
 /// Least time until a refused request may come back.
 const LEAST_RETURN_MS: f64 = 100.0;
 /// Range over which the returns of refused requests are spread.
@@ -35,6 +37,8 @@
     pub aim_ms: f64,
     /// Time until the caller gives up.
     pub left_ms: f64,
+    /// Time without an event after which it gives up earlier.
+    pub silence_left_ms: f64,
 }
 
 /// Whether to take a request on.
@@ -43,7 +47,9 @@
     let is_on_time = prospect.first_event_ms <= prospect.aim_left_ms;
     let is_short_wait = prospect.wait_ms <= prospect.aim_ms * WAIT_FACTOR;
     let last_event_ms = prospect.first_event_ms + prospect.events_ms;
-    (is_on_time || is_short_wait) && last_event_ms <= prospect.left_ms * LEFT_PART
+    let is_heard = prospect.first_event_ms <= prospect.silence_left_ms * SILENCE_PART;
+    let is_whole = last_event_ms <= prospect.left_ms * LEFT_PART;
+    (is_on_time || is_short_wait) && is_heard && is_whole
 }
 
 /// When a refused request may come back; `draw` is uniform in 0 to 1.
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -194,6 +194,7 @@
             aim_left_ms: aim_ms - waited_ms,
             aim_ms,
             left_ms: active.left(now).as_secs_f64() * 1e3,
+            silence_left_ms: active.route.silence_limit_ms.as_secs_f64() * 1e3 - waited_ms,
         };
         if active.runs > 0 || admission::is_admitted(&prospect) {
             return Ok(());
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -73,6 +73,8 @@
     pub timeout_ms: Duration,
     /// Time to the first byte within which an answer is on time.
     pub aim_ms: Duration,
+    /// Time without an event after which callers give a stream up, also before its first event.
+    pub silence_limit_ms: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Targets that may run one request, one after the other.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -66,6 +66,7 @@
         is_stream,
         timeout_ms: Duration::from_secs(6),
         aim_ms: Duration::from_millis(800),
+        silence_limit_ms: Duration::from_millis(3_200),
         priority: 1,
         attempt_limit: if repeat == Repeat::Once { 1 } else { 2 },
     })
--- a/components/gateway/tests/load.rs
+++ b/components/gateway/tests/load.rs
@@ -164,6 +164,16 @@
     call(decision);
 }
 
+/// A prompt so long that its caller has given up before the first event.
+#[test]
+fn prompt_whose_first_event_comes_too_late_for_its_caller_is_refused_at_once() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (_, decision) = core.start(now, prompt("/draft/1", 1, 13_300, 66_000));
+    let ending = common::ending(decision);
+    assert!(matches!(ending, Ending::Refuse { .. }), "{ending:?}");
+}
+
 /// An answer that would not end within its deadline only takes time from others.
 #[test]
 fn answer_that_cannot_end_in_time_is_refused_at_once() {
