--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -137,13 +137,15 @@
             | Outcome::Silent => {}
         }
         active.refused_by.extend(target);
-        let is_started = matches!(
-            outcome,
-            Outcome::Broken {
-                is_started: true,
-                ..
-            }
-        );
+        // Also after a call that was to continue the stream and did not.
+        let is_started = active.last_event.is_some()
+            || matches!(
+                outcome,
+                Outcome::Broken {
+                    is_started: true,
+                    ..
+                }
+            );
         let can_resume = active.route.repeat == Repeat::Resumable && active.last_event.is_some();
         let is_over = !active.may_run_again()
             || active.left(now) < LEAST_CALL_MS
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -29,6 +29,7 @@
 use crate::placement::Need;
 use crate::protocol::Call;
 use crate::protocol::Step;
+use crate::protocol::Transfer;
 
 /// Factor on the expected duration of a prefill after which it is given up.
 const PREFILL_PATIENCE_FACTOR: f64 = 3.0;
@@ -50,6 +51,24 @@
     new_tokens: u64,
 }
 
+impl Planned {
+    /// A run without a prompt to read.
+    fn run(target: TargetName, transfer: Option<Transfer>, patience_ms: Duration) -> Self {
+        Self {
+            target,
+            step: Step::Run(transfer),
+            patience_ms,
+            load: Load {
+                reading_ms: 0.0,
+                runs: 1.0,
+            },
+            nominal_ms: 0.0,
+            expected_ms: 0.0,
+            new_tokens: 0,
+        }
+    }
+}
+
 impl Core {
     /// Chooses the next call of a request, or ends it.
     pub(super) fn next(&mut self, now: Instant, number: RequestNumber) -> Decision {
@@ -99,18 +118,7 @@
         } else {
             left
         };
-        Ok(Planned {
-            target,
-            step: Step::Run(None),
-            patience_ms,
-            load: Load {
-                reading_ms: 0.0,
-                runs: 1.0,
-            },
-            nominal_ms: 0.0,
-            expected_ms: 0.0,
-            new_tokens: 0,
-        })
+        Ok(Planned::run(target, None, patience_ms))
     }
 
     fn plan_model(
@@ -138,18 +146,7 @@
                 self.releases.push(transfer);
                 return Err(no_target());
             };
-            return Ok(Planned {
-                target,
-                step: Step::Run(Some(transfer)),
-                patience_ms: active.left(now),
-                load: Load {
-                    reading_ms: 0.0,
-                    runs: 1.0,
-                },
-                nominal_ms: 0.0,
-                expected_ms: 0.0,
-                new_tokens: 0,
-            });
+            return Ok(Planned::run(target, Some(transfer), active.left(now)));
         }
         let choice = placement::choose_reader(&members, &self.fleet.hints, facts, &need);
         let Some(choice) = choice else {
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -183,7 +183,13 @@
             };
         }
         let left = deadline.saturating_duration_since(self.daemon.clock.now());
-        if is_success && is_event_stream(&response) {
+        let is_stream = is_success && is_event_stream(&response);
+        if exchange.is_started() && !is_stream {
+            return Outcome::Lost {
+                detail: format!("status {status} instead of the rest of the stream"),
+            };
+        }
+        if is_stream {
             relay::stream(self, response, exchange, left).await
         } else {
             relay::whole(self, response, exchange, left).await
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -30,6 +30,8 @@
 const QUIET_TURNS: u32 = 20;
 /// Largest message; it fits into one packet of a usual network.
 const MESSAGE_LIMIT_BYTES: usize = 1_400;
+/// Targets in one message, those with most to read first.
+const LOADS_LIMIT: usize = 60;
 /// Readings in one message.
 const READINGS_LIMIT: usize = 12;
 /// Format of messages; others are ignored.
@@ -129,16 +131,10 @@
             continue;
         }
         quiet = 0;
-        last_loads.clone_from(&loads);
-        for (at, readings) in chunks(news).into_iter().enumerate() {
-            // The loads are the same in all messages of one turn.
-            let loads = if at == 0 {
-                loads.clone()
-            } else {
-                last_loads.clone()
-            };
-            publish(&daemon, &socket, loads, readings).await;
+        for readings in chunks(news) {
+            publish(&daemon, &socket, loads.clone(), readings).await;
         }
+        last_loads = loads;
     }
 }
 
@@ -165,7 +161,9 @@
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // loads are small and positive
 fn own_loads(daemon: &Daemon) -> Vec<TargetLoad> {
-    let loads = daemon.core.borrow().fleet.own_loads();
+    let mut loads = daemon.core.borrow().fleet.own_loads();
+    loads.sort_by(|a, b| b.load.reading_ms.total_cmp(&a.load.reading_ms));
+    loads.truncate(LOADS_LIMIT);
     let loads = loads.iter().map(|own| TargetLoad {
         key: own.key,
         reading_ms: own.load.reading_ms.round() as u32,
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -116,8 +116,6 @@
     pub not_run: bool,
     /// The process at this address is not the one that was meant.
     pub is_other_process: bool,
-    /// Time for which the target keeps an idle connection.
-    pub idle_ms: Option<Duration>,
 }
 
 /// What an engine says after it has read a prompt.
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -293,3 +293,33 @@
     assert_eq!(usable.len(), 2);
     assert!(usable.iter().all(|member| member.failures.abs() < 1e-9));
 }
+
+#[test]
+fn started_stream_that_nobody_continues_is_cut_and_gets_no_second_head() {
+    let now = Instant::now();
+    for refusal in [
+        not_run(),
+        lost(),
+        Outcome::NotSent {
+            detail: "refused".to_owned(),
+        },
+    ] {
+        let mut core = core(now);
+        let (number, decision) = core.start(now, prompt("/tag/1", 1, 200, 100));
+        let mut step = call(decision).call.step;
+        if step == Step::Prefill {
+            step = call(core.outcome(now, number, prefilled())).call.step;
+        }
+        assert!(matches!(step, Step::Run(_)));
+        let broken = Outcome::Broken {
+            last_event: Some("3".to_owned()),
+            is_started: true,
+            detail: "reset".to_owned(),
+        };
+        let mut decision = core.outcome(now, number, broken);
+        while matches!(decision, Decision::Call(_)) {
+            decision = core.outcome(now, number, refusal.clone());
+        }
+        assert_eq!(ending(decision), Ending::Cut);
+    }
+}
