--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -75,7 +75,7 @@
             Decision::End(ending) => break ending,
         };
         let call = &next.call;
-        let making = Making {
+        let open = OpenCall {
             daemon,
             number,
             call,
@@ -97,7 +97,7 @@
                 is_started: exchange.is_started(),
             },
             Ok(Some(Err(error))) => failed(error, exchange.is_started()),
-            Ok(Some(Ok(response))) => making.take(response, exchange, deadline).await,
+            Ok(Some(Ok(response))) => open.take(response, exchange, deadline).await,
         };
         let now = daemon.clock.now();
         decision = daemon.core.borrow_mut().outcome(now, number, outcome);
@@ -149,13 +149,13 @@
 }
 
 /// A call whose answer has begun.
-pub(super) struct Making<'a> {
+pub(super) struct OpenCall<'a> {
     pub(super) daemon: &'a Rc<Daemon>,
     pub(super) number: RequestNumber,
     pub(super) call: &'a Call,
 }
 
-impl Making<'_> {
+impl OpenCall<'_> {
     async fn take(
         &self,
         response: StreamingResponse,
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -47,8 +47,9 @@
 const CONNECT_MS: Duration = Duration::from_millis(400);
 /// Time that an idle connection to a target is kept; targets close theirs after some seconds.
 const IDLE_MS: Duration = Duration::from_secs(4);
-/// Idle connections kept to one target.
-const IDLE_CONNECTIONS: usize = 32;
+/// Idle connections kept to one target. A target accepts some hundred from all processes together,
+/// and there are a few processes for each engine at most.
+const IDLE_CONNECTIONS: usize = 8;
 /// Interval of keepalive probes to targets; a peer that is gone is noticed after three of them.
 const PROBE_MS: Duration = Duration::from_millis(700);
 /// Longest wait for the answer to a call that frees memory.
--- a/components/gateway/src/daemon/relay.rs
+++ b/components/gateway/src/daemon/relay.rs
@@ -10,18 +10,18 @@
 use smol::Timer;
 
 use crate::core::Outcome;
-use crate::daemon::callers::Making;
+use crate::daemon::callers::OpenCall;
 use crate::events::EventSplitter;
 
 /// Relays an answer after it has arrived whole, so that a failure can still be reported.
 pub(super) async fn whole(
-    making: &Making<'_>,
+    open: &OpenCall<'_>,
     response: StreamingResponse,
     exchange: &mut Exchange,
     left: Duration,
 ) -> Outcome {
     let status = u16::from(response.status);
-    let daemon = making.daemon;
+    let daemon = open.daemon;
     let head = daemon.protocol.answer_head(status, &response.headers);
     let late = async {
         Timer::after(left).await;
@@ -39,10 +39,10 @@
         Ok(Ok(whole)) => whole.body,
     };
     let now = daemon.clock.now();
-    if status >= 500 && daemon.core.borrow_mut().try_again(now, making.number) {
+    if status >= 500 && daemon.core.borrow_mut().try_again(now, open.number) {
         return Outcome::Failed { status };
     }
-    daemon.core.borrow_mut().first_byte(now, making.number);
+    daemon.core.borrow_mut().first_byte(now, open.number);
     match exchange.respond(head, &body).await {
         Ok(()) => Outcome::Answered { status },
         Err(HungUp) => Outcome::Abandoned,
@@ -51,13 +51,13 @@
 
 /// Relays an event stream event by event.
 pub(super) async fn stream(
-    making: &Making<'_>,
+    open: &OpenCall<'_>,
     mut response: StreamingResponse,
     exchange: &mut Exchange,
     left: Duration,
 ) -> Outcome {
     let status = u16::from(response.status);
-    let daemon = making.daemon;
+    let daemon = open.daemon;
     let mut head = Some(daemon.protocol.answer_head(status, &response.headers));
     if exchange.is_started() {
         // The answer goes on under the head of its first target.
@@ -96,7 +96,7 @@
         if let Some(head) = head.take() {
             exchange.queue_head(head);
             let now = daemon.clock.now();
-            daemon.core.borrow_mut().first_byte(now, making.number);
+            daemon.core.borrow_mut().first_byte(now, open.number);
         }
         if exchange.write(&whole).await.is_err() {
             return Outcome::Abandoned;
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -67,8 +67,6 @@
     pub split: SmallVec<[Split; 2]>,
     /// Whether and how it may be repeated.
     pub repeat: Repeat,
-    /// The answer is a stream of events.
-    pub is_stream: bool,
     /// Longest time until the final answer.
     pub timeout_ms: Duration,
     /// Time to the first byte within which an answer is on time.
@@ -84,8 +82,6 @@
 /// A service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceFacts {
-    /// Connections that one target accepts from all callers together.
-    pub connection_limit: usize,
     /// Facts of model engines; `None` for plain services.
     pub engine: Option<EngineFacts>,
 }
@@ -101,8 +97,6 @@
     pub token_bytes: u64,
     /// Bandwidth between engines, in bits.
     pub link_bits_per_s: f64,
-    /// Time after which memory that was kept for a transfer is freed.
-    pub transfer_ttl_ms: Duration,
 }
 
 /// Bounds on callers' connections.
