--- a/examples/gateways/faults.rs
+++ b/examples/gateways/faults.rs
@@ -25,6 +25,11 @@
 const LASTS_MS: std::ops::Range<u64> = 200..3_500;
 /// The same for an engine that leaves: longer than the bound for new work to it.
 const LEAVING_LASTS_MS: std::ops::Range<u64> = 8_000..11_000;
+/// Time without a new fault after some of the leavings. Earlier faults end in it, and the bound for
+/// work to a leaving engine holds for an undisturbed process only.
+const CALM_MS: Duration = Duration::from_millis(8_500);
+/// Part of the leavings that such a time follows.
+const CALM_PART: f64 = 0.5;
 
 enum Repair {
     Resume(usize),
@@ -61,12 +66,16 @@
 ) -> eyre::Result<()> {
     let mut repairs: Vec<Lasting> = Vec::new();
     let mut version = 1;
+    let mut calm_until = Instant::now();
     while Instant::now() < until {
         Timer::after(Duration::from_millis(random.random_range(PAUSE_MS))).await;
         let now = Instant::now();
         let (due, rest) = repairs.into_iter().partition(|l| l.until <= now);
         repairs = rest;
         repair(bed, verdict, due).await?;
+        if now < calm_until {
+            continue;
+        }
         let mut lasts = Duration::from_millis(random.random_range(LASTS_MS));
         let gateway = random.random_range(0..bed.gateways.len());
         let is_faulty = repairs.iter().any(|Lasting { repair, .. }| {
@@ -130,6 +139,9 @@
                 bed.register(&engine, "draining");
                 lasts = Duration::from_millis(random.random_range(LEAVING_LASTS_MS));
                 verdict.borrow_mut().leaves(&engine, now);
+                if random.random_bool(CALM_PART) {
+                    calm_until = now + CALM_MS;
+                }
                 ("engine leaving", Some(Repair::Register(engine)))
             }
             _ => {
--- a/examples/soak/agents.rs
+++ b/examples/soak/agents.rs
@@ -29,6 +29,7 @@
 use crate::world::Happening;
 use crate::world::Input;
 use crate::world::Node;
+use crate::world::Phase;
 use crate::world::World;
 
 /// Host of a target, with the target and the agent beside it.
@@ -232,7 +233,8 @@
                 self.cache_events_read(at, run, events);
             }
             Action::PassOrder(order) => {
-                let slow = self.chance(200);
+                // A held-up order is a fault, and faults end before recovery is measured.
+                let slow = self.chance(200) && self.phase != Phase::Recovery;
                 let delay = if slow {
                     self.millis(500, 7_000)
                 } else {
@@ -296,7 +298,7 @@
         if outcome == OrderOutcome::Taken {
             self.check_obeyed(at, run, order);
         }
-        let lost = self.phase == crate::world::Phase::Faults && self.chance(150);
+        let lost = self.phase == Phase::Faults && self.chance(150);
         let outcome = if lost {
             self.count("lost answers to orders");
             OrderOutcome::Unanswered("no answer in time".to_owned())
