--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -49,18 +49,15 @@
         match outcome {
             Outcome::Prefilled(_) => {
                 self.fleet.succeeded(target);
-                // A wait behind others says more of the load than of the speed.
-                if call.waiting_ms < call.nominal_ms {
-                    let own_ms = (took_ms - call.waiting_ms).max(1.0);
-                    self.fleet.took(target, call.nominal_ms, own_ms);
-                }
+                self.fleet
+                    .has_read(target, call.nominal_ms, call.waiting_ms, took_ms);
             }
             Outcome::Answered { status } if *status < 500 => self.fleet.succeeded(target),
             Outcome::NotRun {
                 is_other_process: true,
                 ..
-            } => self.fleet.replaced_process(now, target),
-            Outcome::NotSent { .. } => self.fleet.unreachable(now, target),
+            }
+            | Outcome::NotSent { .. } => self.fleet.unreachable(now, target),
             // A route may give a request less time than its work takes.
             Outcome::TimedOut { is_started: false } if took < SILENCE_MS => {}
             Outcome::Answered { .. }
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -295,12 +295,19 @@
         let Some(current) = &mut active.current else {
             return;
         };
+        let reading_ms = std::mem::take(&mut current.load.reading_ms);
+        if reading_ms <= 0.0 {
+            return;
+        }
         let read = Load {
-            reading_ms: current.load.reading_ms,
+            reading_ms,
             runs: 0.0,
         };
-        current.load.reading_ms = 0.0;
         self.fleet.end(&current.target, current.key, read);
+        let took = now.saturating_duration_since(current.started);
+        let took_ms = took.as_secs_f64() * 1e3;
+        self.fleet
+            .has_read(&current.target, reading_ms, current.waiting_ms, took_ms);
     }
 
     /// Whether a failure that a target answered with is better kept from the caller and the
@@ -326,6 +333,7 @@
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.left(now, &allowance, processes)
     }
+
     fn finish(&mut self, now: Instant, active: Active, ending: Ending, outcome: &Outcome) {
         if let Some(transfer) = active.transfer {
             self.releases.push(transfer);
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -23,6 +23,7 @@
 use crate::deployment::EngineFacts;
 use crate::deployment::Repeat;
 use crate::fleet::Load;
+use crate::fleet::Member;
 use crate::note::Note;
 use crate::placement;
 use crate::placement::Choice;
@@ -153,7 +154,7 @@
             return Err(no_target());
         };
         self.admit(now, active, &choice)?;
-        let slowness = self.fleet.get(&choice.target).map_or(1.0, |m| m.slowness);
+        let slowness = self.fleet.get(&choice.target).map_or(1.0, Member::slowness);
         let is_prefill = choice.role == Role::Prefill;
         let left = active.left(now);
         let patience_ms = if is_prefill {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -19,6 +19,8 @@
 use crate::prefixes::Holder;
 use crate::prefixes::PrefixHash;
 use crate::prefixes::PrefixHints;
+use crate::speed::FIRST_EVENT_MS;
+use crate::speed::Pace;
 
 /// Time after the store's return in which entries that lapsed while it was away come back.
 pub const RETURN_MS: Duration = Duration::from_secs(2);
@@ -29,10 +31,6 @@
 /// Durations of the first ejection and of the longest one. Engines that crash are back within
 /// about five seconds.
 const EJECTION_MS: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(6));
-/// Weight of one more reading in the running mean of a target's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.15;
-/// Bounds of the running mean; a reading that was held up by a fault says little of the speed.
-const SLOWNESS_RANGE: (f64, f64) = (0.6, 6.0);
 /// Weight of one more outcome in the running share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
 
@@ -73,8 +71,8 @@
     pub own: Load,
     /// Work from peers.
     pub others: Load,
-    /// Time that readings take, relative to the nominal speed.
-    pub slowness: f64,
+    /// Speed of its readings.
+    pace: Pace,
     /// Share of recent calls that failed.
     pub failures: f64,
     missing_since: Option<Instant>,
@@ -91,6 +89,12 @@
         load
     }
 
+    /// Time that readings take, relative to the nominal speed.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        self.pace.slowness()
+    }
+
     /// Whether it is well enough for new work.
     #[must_use]
     pub fn is_well(&self, now: Instant) -> bool {
@@ -226,7 +230,7 @@
             holder: self.next_holder,
             own: Load::default(),
             others: Load::default(),
-            slowness: 1.0,
+            pace: Pace::default(),
             failures: 0.0,
             missing_since: None,
             unreachable_until: None,
@@ -332,12 +336,16 @@
         }
     }
 
-    /// Notes that a target took `actual_ms` for a reading of `nominal_ms`.
-    pub fn took(&mut self, name: &str, nominal_ms: f64, actual_ms: f64) {
+    /// Notes that a reading of `nominal_ms` was done `took_ms` after its call, behind `waiting_ms`
+    /// of others.
+    pub fn has_read(&mut self, name: &str, nominal_ms: f64, waiting_ms: f64, took_ms: f64) {
+        // A wait behind others says more of their sizes than of the speed.
+        if waiting_ms >= nominal_ms {
+            return;
+        }
         if let Some(member) = self.members.get_mut(name) {
-            let (least, most) = SLOWNESS_RANGE;
-            let slowness = (actual_ms / nominal_ms.max(1.0)).clamp(least, most);
-            member.slowness += SLOWNESS_WEIGHT * (slowness - member.slowness);
+            let before_ms = waiting_ms * member.slowness() + FIRST_EVENT_MS;
+            member.pace.has_read(nominal_ms, took_ms - before_ms);
         }
     }
 
@@ -369,11 +377,6 @@
         }
     }
 
-    /// The process at a target's address is another one.
-    pub fn replaced_process(&mut self, now: Instant, name: &str) {
-        self.unreachable(now, name);
-    }
-
     /// Replaces what a peer reported before.
     pub fn peer_reported(&mut self, now: Instant, host: &HostName, loads: Vec<PeerLoad>) {
         self.forget_peer(host);
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -19,10 +19,9 @@
 use crate::speed;
 use crate::speed::Reading;
 
-/// Weight of the engine time that a choice takes, beside its own time to the first event.
-const WORK_WEIGHT: f64 = 1.0;
-/// The same on an engine that also decodes, whose streams and arriving transfers wait meanwhile.
-const SHARED_WORK_WEIGHT: f64 = 2.5;
+/// Weight of the engine time that a choice takes, beside its own time to the first event: later
+/// requests wait for it too.
+const WORK_WEIGHT: f64 = 2.0;
 /// Time that a transfer between two engines adds beside its bytes.
 const TRANSFER_SETUP_MS: f64 = 6.0;
 /// Factor on transfers between data centres; the same as the engines' links have.
@@ -105,21 +104,16 @@
     let Load { reading_ms, runs } = member.load();
     let is_prefill = member.entry.role == Role::Prefill;
     let nominal_ms = reading.work_ms(member.entry.role, if is_prefill { 0.0 } else { runs });
-    let own_ms = nominal_ms * member.slowness;
+    let own_ms = nominal_ms * member.slowness();
     let transfer_ms = if is_prefill {
         TRANSFER_SETUP_MS + transfer_ms(facts, prompt_tokens)
     } else {
         0.0
     };
     let first_event_ms =
-        reading_ms * member.slowness + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
-    let work_weight = if is_prefill {
-        WORK_WEIGHT
-    } else {
-        SHARED_WORK_WEIGHT
-    };
+        reading_ms * member.slowness() + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
     let rating = first_event_ms
-        + work_weight * own_ms
+        + WORK_WEIGHT * own_ms
         + FAILURE_MS * member.failures
         + SPREAD_MS * spread(member, need);
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
@@ -127,7 +121,7 @@
         target: member.entry.name.clone(),
         role: member.entry.role,
         first_event_ms,
-        wait_ms: reading_ms * member.slowness,
+        wait_ms: reading_ms * member.slowness(),
         events_ms: f64::from(need.work.output_tokens()) * speed::step_ms(TYPICAL_STREAMS),
         reading_ms: nominal_ms,
         new_tokens: reading.new_tokens as u64,
@@ -191,7 +185,8 @@
         } else {
             0.0
         };
-        let rating = moved_ms + start_ms * member.slowness + FAILURE_MS * member.failures + full_ms;
+        let rating =
+            moved_ms + start_ms * member.slowness() + FAILURE_MS * member.failures + full_ms;
         (rating, member)
     });
     let best = rated.min_by(|(a, _), (b, _)| a.total_cmp(b));
--- a/components/gateway/src/speed.rs
+++ b/components/gateway/src/speed.rs
@@ -21,6 +21,46 @@
 /// Time from the end of the prompt to the first event; from the engines' data sheet.
 pub const FIRST_EVENT_MS: f64 = 90.0;
 
+/// Nominal time of the readings from which an engine's pace is estimated: some ten prompts.
+const PACE_MEMORY_MS: f64 = 2_000.0;
+/// Nominal time of readings at nominal speed that a new engine is taken to have done.
+const PACE_PRIOR_MS: f64 = 300.0;
+/// Bounds of what one reading says; one that was held up by a fault says little of the speed.
+const PACE_RANGE: (f64, f64) = (0.5, 6.0);
+
+/// How fast an engine has read lately.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    nominal_ms: f64,
+    actual_ms: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            nominal_ms: PACE_PRIOR_MS,
+            actual_ms: PACE_PRIOR_MS,
+        }
+    }
+}
+
+impl Pace {
+    /// Takes a reading into account. Its weight is its size, since short ones consist of delays.
+    pub fn has_read(&mut self, nominal_ms: f64, actual_ms: f64) {
+        let (least, most) = PACE_RANGE;
+        let kept = PACE_MEMORY_MS / (PACE_MEMORY_MS + nominal_ms);
+        let actual_ms = actual_ms.clamp(nominal_ms * least, nominal_ms * most);
+        self.nominal_ms = self.nominal_ms * kept + nominal_ms;
+        self.actual_ms = self.actual_ms * kept + actual_ms;
+    }
+
+    /// Time that readings take, relative to the nominal speed.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        self.actual_ms / self.nominal_ms
+    }
+}
+
 /// A prompt as one engine has to read it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reading {
--- a/components/gateway/tests/load.rs
+++ b/components/gateway/tests/load.rs
@@ -18,6 +18,7 @@
 use gateway::fleet::PeerLoad;
 use gateway::protocol::Prefilled;
 use gateway::protocol::Step;
+use gateway::speed::FIRST_EVENT_MS;
 use types::Role;
 
 fn role(core: &Core, target: &str) -> Role {
@@ -68,6 +69,20 @@
     assert_ne!(call(decision).call.target, first);
 }
 
+/// Waves of long prompts: reading a beginning a second time takes longer than a wait of some
+/// hundred milliseconds, and the requests behind it pay for it as well.
+#[test]
+fn beginning_is_not_read_again_to_save_a_bearable_wait() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (number, decision) = core.start(now, prompt("/draft/1", 1, 9_300, 3_700));
+    let first = call(decision).call.target;
+    core.outcome(now, number, Outcome::Abandoned);
+    busy(&mut core, now, &[(&first, 500.0, 3.0)]);
+    let (_, decision) = core.start(now, prompt("/draft/1", 1, 9_300, 3_700));
+    assert_eq!(call(decision).call.target, first);
+}
+
 /// What a peer has just read counts like one's own readings.
 #[test]
 fn prompts_follow_the_readings_of_peers() {
@@ -187,3 +202,82 @@
     let ending = common::ending(decision);
     assert!(matches!(ending, Ending::Refuse { .. }), "{ending:?}");
 }
+
+/// Hours of short prompts on engines of nominal speed: the time that every first event takes is
+/// not held against an engine, or its queue seems several times as long as it is.
+#[test]
+fn short_prompts_do_not_make_an_engine_seem_slow() {
+    let mut now = Instant::now();
+    let mut core = core(now);
+    for book in 0..60 {
+        busy(
+            &mut core,
+            now,
+            &[
+                ("write-1", 900.0, 9.0),
+                ("write-2", 900.0, 9.0),
+                ("write-3", 900.0, 9.0),
+            ],
+        );
+        let (number, decision) = core.start(now, prompt("/draft/1", book, 500, 300));
+        let target = call(decision).call.target;
+        assert_eq!(role(&core, &target), Role::Prefill);
+        let reading_ms = core.fleet.get(&target).expect("known").load().reading_ms;
+        now += Duration::from_secs_f64((reading_ms + FIRST_EVENT_MS) / 1e3);
+        let prefilled = Outcome::Prefilled(Prefilled {
+            name: "m".to_owned(),
+        });
+        core.outcome(now, number, prefilled);
+        core.outcome(now, number, Outcome::Abandoned);
+        let slowness = core.fleet.get(&target).expect("known").slowness();
+        assert!((0.9..1.1).contains(&slowness), "{target}: {slowness}");
+    }
+}
+
+/// An engine of a slower kind gets less: its readings take twice their nominal time, in either
+/// role.
+#[test]
+fn slow_engines_are_found_by_their_readings() {
+    for (fast, slow) in [("read-1", "read-2"), ("write-1", "write-2")] {
+        let mut now = Instant::now();
+        let mut core = core(now);
+        let others = ["read-1", "read-2", "write-1", "write-2", "write-3"];
+        let others = others
+            .iter()
+            .filter(|name| **name != slow && **name != fast);
+        let loads: Vec<_> = others.map(|name| (*name, 3_000.0, 2.0)).collect();
+        busy(&mut core, now, &loads);
+        let mut read_by: BTreeMap<String, u32> = BTreeMap::new();
+        for book in 0..60 {
+            let (number, decision) = core.start(now, prompt("/draft/1", book, 6_300, 2_900));
+            let next = call(decision).call;
+            let reading_ms = core
+                .fleet
+                .get(&next.target)
+                .expect("known")
+                .load()
+                .reading_ms;
+            let factor = if next.target == slow { 2.0 } else { 1.0 };
+            *read_by.entry(next.target.clone()).or_default() += 1;
+            now += Duration::from_secs_f64((reading_ms * factor + FIRST_EVENT_MS) / 1e3);
+            if next.step == Step::Prefill {
+                let name = "m".to_owned();
+                core.outcome(now, number, Outcome::Prefilled(Prefilled { name }));
+            }
+            core.first_byte(now, number);
+            core.outcome(now, number, Outcome::Answered { status: 200 });
+        }
+        let slowness = |name: &str| core.fleet.get(name).expect("known").slowness();
+        assert!(
+            slowness(slow) > slowness(fast) + 0.2,
+            "{slow}: {}",
+            slowness(slow)
+        );
+        assert!(
+            (0.9..1.1).contains(&slowness(fast)),
+            "{fast}: {}",
+            slowness(fast)
+        );
+        assert!(read_by[slow] * 2 < read_by[fast], "{read_by:?}");
+    }
+}
