--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -29,7 +29,7 @@
         };
         let call = active.current.take();
         if let Some(call) = &call {
-            self.fleet.end(&call.target, call.key, call.load);
+            self.fleet.end(now, &call.target, call.key, call.load);
             self.learn(now, &active, call, &outcome);
         }
         let ending = self.conclude(now, &mut active, call, &outcome);
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -35,6 +35,7 @@
 use crate::prefixes;
 use crate::prefixes::PrefixHash;
 use crate::protocol::CallerRequest;
+use crate::protocol::ModelWork;
 use crate::protocol::Transfer;
 use crate::repeats::RepeatAllowance;
 use crate::repeats::RepeatBudget;
@@ -250,6 +251,8 @@
         let engine = facts.and_then(|facts| facts.engine);
         let patience = request.patience_ms.min(route.timeout_ms);
         let work = request.work.as_ref();
+        let prompt_tokens = work.map_or(0, |work| work.prompt_tokens);
+        let output_tokens = work.map_or(0, ModelWork::output_tokens);
         let active = Active {
             hashes: work
                 .map(|work| prefixes::shared_hashes(&work.parts))
@@ -276,6 +279,8 @@
             service: active.service.clone(),
             version: configuration.version,
             left_ms: millis(patience),
+            prompt_tokens,
+            output_tokens,
         });
         let allowance = self.settings.repeats;
         let budget = self.budgets.entry(active.service.clone()).or_default();
@@ -303,7 +308,7 @@
             reading_ms,
             runs: 0.0,
         };
-        self.fleet.end(&current.target, current.key, read);
+        self.fleet.end(now, &current.target, current.key, read);
         let took = now.saturating_duration_since(current.started);
         let took_ms = took.as_secs_f64() * 1e3;
         self.fleet
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -142,14 +142,14 @@
             let place = self.fleet.get(&transfer.holder);
             let place = place.map_or(&self.settings.data_centre, |m| &m.entry.data_centre);
             let hints = &self.fleet.hints;
-            let target = placement::choose_decoder(&members, hints, facts, &need, place);
+            let target = placement::choose_decoder(&members, hints, facts, &need, place, now);
             let Some(target) = target else {
                 self.releases.push(transfer);
                 return Err(no_target());
             };
             return Ok(Planned::run(target, Some(transfer), active.left(now)));
         }
-        let choice = placement::choose_reader(&members, &self.fleet.hints, facts, &need);
+        let choice = placement::choose_reader(&members, &self.fleet.hints, facts, &need, now);
         let Some(choice) = choice else {
             return Err(no_target());
         };
@@ -208,7 +208,8 @@
         let Some(member) = self.fleet.get(&planned.target) else {
             return Decision::End(no_target());
         };
-        let (address, key, before) = (member.entry.address, member.key, member.load());
+        let (address, key) = (member.entry.address, member.key);
+        let (waiting_ms, running) = (member.wait_ms(now), member.load().runs);
         let is_prefill = planned.step == Step::Prefill;
         active.calls += 1;
         // The first reading of a prompt does not count as an arrival if it is accepted.
@@ -224,7 +225,7 @@
             }
             active.arrivals += 1;
         }
-        self.fleet.begin(&planned.target, planned.load);
+        self.fleet.begin(now, &planned.target, planned.load);
         if active.engine.is_some() {
             self.fleet
                 .reads(&planned.target, &active.hashes, planned.new_tokens);
@@ -244,8 +245,8 @@
             },
             call: active.calls,
             expected_ms: rounded(planned.expected_ms),
-            waiting_ms: rounded(before.reading_ms),
-            running: rounded(before.runs),
+            waiting_ms: rounded(waiting_ms),
+            running: rounded(running),
             new_tokens: planned.new_tokens,
         });
         let transfer = match &planned.step {
@@ -258,7 +259,7 @@
             load: planned.load,
             started: now,
             nominal_ms: planned.nominal_ms,
-            waiting_ms: before.reading_ms,
+            waiting_ms,
             is_prefill,
             transfer,
         });
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -73,6 +73,8 @@
     pub others: Load,
     /// Speed of its readings.
     pace: Pace,
+    /// When it will have read all prompts that are known to be there.
+    read_by: Option<Instant>,
     /// Share of recent calls that failed.
     pub failures: f64,
     missing_since: Option<Instant>,
@@ -95,6 +97,26 @@
         self.pace.slowness()
     }
 
+    /// Time until it can begin with another prompt.
+    #[must_use]
+    pub fn wait_ms(&self, now: Instant) -> f64 {
+        let left = self.read_by.map(|by| by.saturating_duration_since(now));
+        left.unwrap_or_default().as_secs_f64() * 1e3
+    }
+
+    /// More prompts are there.
+    fn has_more_to_read(&mut self, now: Instant, reading_ms: f64) {
+        let from = self.read_by.map_or(now, |by| by.max(now));
+        self.read_by = Some(from + millis(reading_ms * self.slowness()));
+    }
+
+    /// A prompt was read. The engine went on with the next one when it had, and the news took as
+    /// long as a first event.
+    fn has_less_to_read(&mut self, now: Instant) {
+        let rest_ms = self.load().reading_ms * self.slowness();
+        self.read_by = Some(now + millis((rest_ms - FIRST_EVENT_MS).max(0.0)));
+    }
+
     /// Whether it is well enough for new work.
     #[must_use]
     pub fn is_well(&self, now: Instant) -> bool {
@@ -231,6 +253,7 @@
             own: Load::default(),
             others: Load::default(),
             pace: Pace::default(),
+            read_by: None,
             failures: 0.0,
             missing_since: None,
             unreachable_until: None,
@@ -314,18 +337,22 @@
     }
 
     /// Adds work of this process.
-    pub fn begin(&mut self, name: &str, load: Load) {
+    pub fn begin(&mut self, now: Instant, name: &str, load: Load) {
         if let Some(member) = self.members.get_mut(name) {
             member.own.add(load);
+            member.has_more_to_read(now, load.reading_ms);
         }
     }
 
     /// Takes away work of this process that `begin` added to the same run of the target.
-    pub fn end(&mut self, name: &str, key: TargetKey, load: Load) {
+    pub fn end(&mut self, now: Instant, name: &str, key: TargetKey, load: Load) {
         if let Some(member) = self.members.get_mut(name)
             && member.key == key
         {
             member.own.subtract(load);
+            if load.reading_ms > 0.0 {
+                member.has_less_to_read(now);
+            }
         }
     }
 
@@ -344,8 +371,8 @@
             return;
         }
         if let Some(member) = self.members.get_mut(name) {
-            let before_ms = waiting_ms * member.slowness() + FIRST_EVENT_MS;
-            member.pace.has_read(nominal_ms, took_ms - before_ms);
+            let own_ms = took_ms - waiting_ms - FIRST_EVENT_MS;
+            member.pace.has_read(nominal_ms, own_ms);
         }
     }
 
@@ -379,12 +406,21 @@
 
     /// Replaces what a peer reported before.
     pub fn peer_reported(&mut self, now: Instant, host: &HostName, loads: Vec<PeerLoad>) {
+        let before = self.reading_of_others();
         self.forget_peer(host);
         for reported in &loads {
             if let Some(member) = self.by_key(reported.key) {
                 member.others.add(reported.load);
             }
         }
+        for (member, before_ms) in self.members.values_mut().zip(before) {
+            let more_ms = member.others.reading_ms - before_ms;
+            if more_ms > 0.0 {
+                member.has_more_to_read(now, more_ms);
+            } else if more_ms < 0.0 {
+                member.has_less_to_read(now);
+            }
+        }
         self.peers.insert(host.clone(), Peer { heard: now, loads });
     }
 
@@ -413,6 +449,11 @@
         .collect()
     }
 
+    fn reading_of_others(&self) -> Vec<f64> {
+        let members = self.members.values();
+        members.map(|member| member.others.reading_ms).collect()
+    }
+
     fn is_after_outage(&self, now: Instant) -> bool {
         match self.store {
             StoreState::Steady => false,
@@ -443,6 +484,10 @@
     }
 }
 
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0) / 1e3)
+}
+
 fn key(entry: &TargetEntry) -> TargetKey {
     let mut hasher = blake3::Hasher::new();
     hasher.update(entry.name.as_bytes());
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -217,9 +217,12 @@
             service,
             version,
             left_ms,
+            prompt_tokens,
+            output_tokens,
         } => info!(logger, "request routed";
             "code" => "CS5201", "request" => cut(request), "route" => cut(route),
-            "service" => cut(service), "version" => version, "left_ms" => left_ms),
+            "service" => cut(service), "version" => version, "left_ms" => left_ms,
+            "prompt_tokens" => prompt_tokens, "output_tokens" => output_tokens),
         Note::Sent {
             request,
             target,
--- a/components/gateway/src/note.rs
+++ b/components/gateway/src/note.rs
@@ -85,6 +85,10 @@
         version: ConfigurationVersion,
         /// Time that is left.
         left_ms: u64,
+        /// Size of the prompt; 0 if it is not for a model.
+        prompt_tokens: u32,
+        /// Expected size of the answer; 0 if it is not for a model.
+        output_tokens: u32,
     },
     /// A target was chosen.
     Sent {
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -5,13 +5,14 @@
 //! to the engine that will have read it first, counting what it has read already, what waits there
 //! from all processes, and the engine time that the choice takes from later requests.
 
+use std::time::Instant;
+
 use smallvec::SmallVec;
 use types::Place;
 use types::Role;
 use types::TargetName;
 
 use crate::deployment::EngineFacts;
-use crate::fleet::Load;
 use crate::fleet::Member;
 use crate::prefixes::PrefixHash;
 use crate::prefixes::PrefixHints;
@@ -75,6 +76,7 @@
     hints: &PrefixHints,
     facts: &EngineFacts,
     need: &Need<'_>,
+    now: Instant,
 ) -> Option<Choice> {
     let has_decoder = members
         .iter()
@@ -83,7 +85,7 @@
         !need.refused_by.contains(&member.entry.name)
             && (member.entry.role != Role::Prefill || has_decoder)
     });
-    let choices = candidates.map(|member| rate(member, hints, facts, need));
+    let choices = candidates.map(|member| rate(member, hints, facts, need, now));
     let best = choices.min_by(|(a, _), (b, _)| a.total_cmp(b));
     best.map(|(_, choice)| choice)
 }
@@ -94,6 +96,7 @@
     hints: &PrefixHints,
     facts: &EngineFacts,
     need: &Need<'_>,
+    now: Instant,
 ) -> (f64, Choice) {
     let prompt_tokens = f64::from(need.work.prompt_tokens);
     let cached_tokens = cached_tokens(member, hints, facts, need).min(prompt_tokens - 1.0);
@@ -101,7 +104,7 @@
         new_tokens: prompt_tokens - cached_tokens,
         prompt_tokens,
     };
-    let Load { reading_ms, runs } = member.load();
+    let (wait_ms, runs) = (member.wait_ms(now), member.load().runs);
     let is_prefill = member.entry.role == Role::Prefill;
     let nominal_ms = reading.work_ms(member.entry.role, if is_prefill { 0.0 } else { runs });
     let own_ms = nominal_ms * member.slowness();
@@ -110,8 +113,7 @@
     } else {
         0.0
     };
-    let first_event_ms =
-        reading_ms * member.slowness() + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
+    let first_event_ms = wait_ms + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
     let rating = first_event_ms
         + WORK_WEIGHT * own_ms
         + FAILURE_MS * member.failures
@@ -121,7 +123,7 @@
         target: member.entry.name.clone(),
         role: member.entry.role,
         first_event_ms,
-        wait_ms: reading_ms * member.slowness(),
+        wait_ms,
         events_ms: f64::from(need.work.output_tokens()) * speed::step_ms(TYPICAL_STREAMS),
         reading_ms: nominal_ms,
         new_tokens: reading.new_tokens as u64,
@@ -163,13 +165,14 @@
     facts: &EngineFacts,
     need: &Need<'_>,
     holder_place: &Place,
+    now: Instant,
 ) -> Option<TargetName> {
     let candidates = members.iter().filter(|member| {
         member.entry.role != Role::Prefill && !need.refused_by.contains(&member.entry.name)
     });
     let prompt_tokens = f64::from(need.work.prompt_tokens);
     let rated = candidates.map(|member| {
-        let Load { reading_ms, runs } = member.load();
+        let (wait_ms, runs) = (member.wait_ms(now), member.load().runs);
         let is_remote = member.entry.data_centre != *holder_place;
         let factor = if is_remote {
             REMOTE_TRANSFER_FACTOR
@@ -179,14 +182,13 @@
         let missing = prompt_tokens - cached_tokens(member, hints, facts, need);
         let moved_ms = factor * transfer_ms(facts, missing.max(0.0));
         // A stream gets its first event a few steps after its memory has arrived.
-        let start_ms = speed::step_ms(runs) * 2.0 + reading_ms * 2.0;
+        let start_ms = speed::step_ms(runs) * member.slowness() * 2.0 + wait_ms * 2.0;
         let full_ms = if runs >= f64::from(facts.slots) {
             1e4
         } else {
             0.0
         };
-        let rating =
-            moved_ms + start_ms * member.slowness() + FAILURE_MS * member.failures + full_ms;
+        let rating = moved_ms + start_ms + FAILURE_MS * member.failures + full_ms;
         (rating, member)
     });
     let best = rated.min_by(|(a, _), (b, _)| a.total_cmp(b));
--- a/components/gateway/src/prefixes.rs
+++ b/components/gateway/src/prefixes.rs
@@ -17,7 +17,9 @@
 pub type Holder = u32;
 
 /// Most holders that are remembered for one prefix.
-const HOLDERS_LIMIT: usize = 6;
+const HOLDERS_LIMIT: usize = 64;
+/// Holders of most prefixes.
+const FEW_HOLDERS: usize = 6;
 /// Most prefixes that are remembered.
 const PREFIXES_LIMIT: usize = 1 << 14;
 /// Part of an engine's memory that cached parts are trusted to have; running requests take the
@@ -34,7 +36,7 @@
 /// Index of prefixes.
 #[derive(Debug, Default)]
 pub struct PrefixHints {
-    uses: HashMap<PrefixHash, SmallVec<[Use; HOLDERS_LIMIT]>>,
+    uses: HashMap<PrefixHash, SmallVec<[Use; FEW_HOLDERS]>>,
     read_tokens: HashMap<Holder, u64>,
 }
 
--- a/components/gateway/tests/load.rs
+++ b/components/gateway/tests/load.rs
@@ -16,6 +16,7 @@
 use gateway::core::Outcome;
 use gateway::fleet::Load;
 use gateway::fleet::PeerLoad;
+use gateway::prefixes::PrefixHints;
 use gateway::protocol::Prefilled;
 use gateway::protocol::Step;
 use gateway::speed::FIRST_EVENT_MS;
@@ -203,6 +204,40 @@
     assert!(matches!(ending, Ending::Refuse { .. }), "{ending:?}");
 }
 
+/// A long prompt that is nearly read is a short wait, whatever its size was.
+#[test]
+fn engine_that_has_nearly_read_what_it_has_counts_as_nearly_free() {
+    let start = Instant::now();
+    let mut core = core(start);
+    let streams = [
+        ("write-1", 900.0, 9.0),
+        ("write-2", 900.0, 9.0),
+        ("write-3", 900.0, 9.0),
+    ];
+    busy(
+        &mut core,
+        start,
+        &[&[("read-1", 600.0, 1.0)], &streams[..]].concat(),
+    );
+    let now = start + Duration::from_millis(550);
+    let both = [("read-1", 600.0, 1.0), ("read-2", 300.0, 1.0)];
+    busy(&mut core, now, &[&both[..], &streams[..]].concat());
+    let (_, decision) = core.start(now, prompt("/draft/1", 1, 2_000, 700));
+    assert_eq!(call(decision).call.target, "read-1");
+}
+
+/// The instructions that begin all prompts of a kind are soon in every engine's memory.
+#[test]
+fn beginning_that_every_engine_has_is_known_of_every_engine() {
+    let mut hints = PrefixHints::default();
+    for holder in 0..57 {
+        hints.reads(holder, &[1, u64::from(holder)], 2_520);
+    }
+    for holder in 0..57 {
+        assert_eq!(hints.matched(holder, &[1], 460_000), 1, "holder {holder}");
+    }
+}
+
 /// Hours of short prompts on engines of nominal speed: the time that every first event takes is
 /// not held against an engine, or its queue seems several times as long as it is.
 #[test]
