--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -75,6 +75,7 @@
 pub(crate) struct Daemon {
     pub(crate) core: RefCell<Core>,
     pub(crate) protocol: Rc<dyn Protocol>,
+    deployment: Rc<dyn Deployment>,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) settings: GatewaySettings,
     pub(crate) is_staying: Cell<bool>,
@@ -106,7 +107,12 @@
     let metrics = listen(settings.metrics).await?;
     let stop = Signals::new([Signal::Term, Signal::Int]).wrap_err("cannot receive SIGTERM")?;
     let reload = Signals::new([Signal::Hup]).wrap_err("cannot receive SIGHUP")?;
-    let daemon = Rc::new(Daemon::new(settings, adapter.protocol, executor)?);
+    let daemon = Rc::new(Daemon::new(
+        settings,
+        adapter.protocol,
+        adapter.deployment,
+        executor,
+    )?);
     let incarnation = daemon.core.borrow().incarnation();
     daemon.note(Note::Started { incarnation });
     daemon.spawn(daemon.log.clone().run());
@@ -117,7 +123,7 @@
         let daemon = daemon.clone();
         Rc::new(move |notice| daemon.notice(notice))
     };
-    daemon.spawn(adapter.deployment.follow(sink));
+    daemon.spawn(daemon.deployment.clone().follow(sink));
     ready::start(&daemon, ready, metrics);
     stop::serve_until_stopped(&daemon, callers, stop).await;
     Ok(())
@@ -137,7 +143,12 @@
     loop {
         Timer::after(TICK_MS).await;
         let now = daemon.clock.now();
-        daemon.core.borrow_mut().tick(now);
+        let keeps_watch = {
+            let mut core = daemon.core.borrow_mut();
+            core.tick(now);
+            core.fleet.keeps_watch(&daemon.settings.host)
+        };
+        daemon.deployment.watch(keeps_watch);
         daemon.after_decision();
         daemon.meters.sort_samples();
     }
@@ -158,6 +169,7 @@
     fn new(
         settings: GatewaySettings,
         protocol: Rc<dyn Protocol>,
+        deployment: Rc<dyn Deployment>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> eyre::Result<Self> {
         let core_settings = CoreSettings {
@@ -169,6 +181,7 @@
         Ok(Self {
             core: RefCell::new(Core::new(core_settings, incarnation)),
             protocol,
+            deployment,
             clock: Rc::new(SystemClock),
             is_staying: Cell::new(true),
             executor,
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -18,6 +18,8 @@
 
 use crate::core::ReadingNews;
 use crate::daemon::Daemon;
+use crate::deployment::NewsVersion;
+use crate::deployment::PeerEntry;
 use crate::fleet::Load;
 use crate::fleet::PeerLoad;
 use crate::fleet::TargetKey;
@@ -35,13 +37,15 @@
 /// Readings in one message.
 const READINGS_LIMIT: usize = 12;
 /// Format of messages; others are ignored.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
     format: u8,
     host: HostName,
     incarnation: Incarnation,
+    /// Newest change of the deployment that the sender knows.
+    known: NewsVersion,
     loads: Vec<TargetLoad>,
     readings: Vec<Reading>,
 }
@@ -103,6 +107,8 @@
     if message.incarnation == core.incarnation() {
         return;
     }
+    daemon.deployment.peer_knows(message.known);
+    daemon.meet(&message.host, sender);
     let loads = message.loads.iter().map(|load| PeerLoad {
         key: load.key,
         load: Load {
@@ -119,14 +125,32 @@
     }
 }
 
+impl Daemon {
+    /// Adds a process that started after the list of processes was read.
+    fn meet(&self, host: &HostName, address: SocketAddr) {
+        let mut peers = self.peers.borrow_mut();
+        if peers.iter().any(|peer| peer.address == address) {
+            return;
+        }
+        peers.retain(|peer| peer.host != *host);
+        peers.push(PeerEntry {
+            host: host.clone(),
+            address,
+        });
+    }
+}
+
 async fn send(daemon: Rc<Daemon>, socket: UdpSocket) {
     let mut last_loads = Vec::new();
+    let mut last_known = 0;
     let mut quiet = 0;
     loop {
         Timer::after(CHANGED_MS).await;
         let loads = own_loads(&daemon);
         let news = daemon.core.borrow_mut().take_news();
-        if news.is_empty() && loads == last_loads && quiet < QUIET_TURNS {
+        let known = daemon.deployment.known();
+        let is_same = news.is_empty() && loads == last_loads && known == last_known;
+        if is_same && quiet < QUIET_TURNS {
             quiet += 1;
             continue;
         }
@@ -135,6 +159,7 @@
             publish(&daemon, &socket, loads.clone(), readings).await;
         }
         last_loads = loads;
+        last_known = known;
     }
 }
 
@@ -182,6 +207,7 @@
         format: FORMAT,
         host: daemon.settings.host.clone(),
         incarnation: daemon.core.borrow().incarnation(),
+        known: daemon.deployment.known(),
         loads,
         readings,
     };
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -18,6 +18,8 @@
 
 /// Version of the whole configuration.
 pub type ConfigurationVersion = u64;
+/// Version of the newest change that a process knows; one counter for all changes.
+pub type NewsVersion = u64;
 /// Route, unique within a configuration.
 pub type RouteName = String;
 
@@ -189,4 +191,14 @@
         self: Rc<Self>,
         sink: Rc<dyn Fn(Notice)>,
     ) -> std::pin::Pin<Box<dyn Future<Output = ()>>>;
+
+    /// Newest change that is known here; 0 before the first.
+    fn known(&self) -> NewsVersion;
+
+    /// A peer knows the changes up to `version`.
+    fn peer_knows(&self, version: NewsVersion);
+
+    /// Whether to look for changes so often that a platform which fell silent is noticed at once.
+    /// Other processes rely on what their peers know.
+    fn watch(&self, is_watching: bool);
 }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -26,6 +26,8 @@
 pub const RETURN_MS: Duration = Duration::from_secs(2);
 /// Time without a message after which a peer's load is taken for gone.
 pub const PEER_SILENCE_MS: Duration = Duration::from_millis(1_500);
+/// Processes that watch the platform for all. They may fail or be cut off one by one.
+const WATCHES: usize = 3;
 /// Time for which a target that could not be connected to gets no work.
 const UNREACHABLE_MS: Duration = Duration::from_secs(1);
 /// Durations of the first ejection and of the longest one. Engines that crash are back within
@@ -438,6 +440,13 @@
         self.peers.len()
     }
 
+    /// Whether a process on `host` is among those that watch the platform for all: the first ones by
+    /// name of those that were heard of lately.
+    #[must_use]
+    pub fn keeps_watch(&self, host: &HostName) -> bool {
+        self.peers.keys().filter(|peer| *peer < host).count() < WATCHES
+    }
+
     /// Work of this process, by target.
     #[must_use]
     pub fn own_loads(&self) -> Vec<PeerLoad> {
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -175,3 +175,19 @@
     assert_eq!(names(&fleet, now), ["desk-2"]);
     assert_eq!(names(&fleet, now + Duration::from_secs(6)).len(), 2);
 }
+
+#[test]
+fn first_processes_by_name_that_are_heard_of_keep_watch() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let hosts = ["a", "b", "c", "d"].map(str::to_owned);
+    assert!(fleet.keeps_watch(&hosts[3]), "alone");
+    for host in &hosts[..3] {
+        fleet.peer_reported(now, host, Vec::new());
+    }
+    assert!(!fleet.keeps_watch(&hosts[3]), "after three others");
+    let later = now + PEER_SILENCE_MS + Duration::from_millis(1);
+    fleet.peer_reported(later, &hosts[0], Vec::new());
+    fleet.tick(later);
+    assert!(fleet.keeps_watch(&hosts[3]), "after two that fell silent");
+}
