--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -71,15 +71,13 @@
             }
             Outcome::TimedOut { .. } | Outcome::NotRun { .. } | Outcome::Abandoned => {}
         }
-        let ended = match outcome {
-            Outcome::Answered { .. } | Outcome::Abandoned => return,
-            Outcome::Prefilled(_) => "prefilled".to_owned(),
-            other => format!("{other:?}"),
-        };
+        if matches!(outcome, Outcome::Answered { .. } | Outcome::Abandoned) {
+            return;
+        }
         self.notes.push(Note::CallEnded {
             request: active.request.id.clone(),
             target: target.clone(),
-            outcome: ended,
+            outcome: outcome.to_string(),
             took_ms: millis(took),
         });
     }
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -1,5 +1,6 @@
 //! What the core decides, and what the daemon reports back.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -102,3 +103,30 @@
     /// The caller hung up.
     Abandoned,
 }
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Prefilled(_) => write!(f, "prompt read"),
+            Self::NotRun {
+                is_other_process: true,
+                ..
+            } => write!(f, "not run: another process has the address"),
+            Self::NotRun { status, .. } => write!(f, "not run: status {status}"),
+            Self::NotSent { detail } => write!(f, "not sent: {detail}"),
+            Self::Lost { detail } => write!(f, "answer lost: {detail}"),
+            Self::Failed { status } => write!(f, "failed: status {status}"),
+            Self::Broken {
+                last_event: Some(event),
+                detail,
+                ..
+            } => write!(f, "stream broken after event {event}: {detail}"),
+            Self::Broken { detail, .. } => write!(f, "stream broken before an event: {detail}"),
+            Self::Silent => write!(f, "no answer in the time of the call"),
+            Self::TimedOut { is_started: true } => write!(f, "out of time in the answer"),
+            Self::TimedOut { .. } => write!(f, "out of time before the answer"),
+            Self::Answered { status } => write!(f, "answered: status {status}"),
+            Self::Abandoned => write!(f, "the caller hung up"),
+        }
+    }
+}
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -378,7 +378,7 @@
         (Ending::Refuse { detail, .. }, _) => ("refused", detail.to_owned(), 503),
         (Ending::NoRoute, _) => ("refused", "no route matches".to_owned(), 404),
         (Ending::Fail { status, detail }, _) => ("failed", detail.to_owned(), status),
-        (Ending::Cut, outcome) => ("cut", format!("{outcome:?}"), 0),
+        (Ending::Cut, outcome) => ("cut", outcome.to_string(), 0),
         (_, Outcome::Answered { status }) => ("answered", String::new(), *status),
         _ => ("abandoned", "the caller hung up".to_owned(), 0),
     }
