--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod events;
 pub mod fleet;
+pub mod history;
 pub mod log;
 pub mod note;
 pub mod placement;
--- /dev/null
+++ b/components/gateway/tests/history.rs
@@ -0,0 +1,48 @@
+//! History of one request from log lines.
+
+use gateway::history::history;
+
+const LOG: [&str; 7] = [
+    r#"  3.1 front-1 {"ts":"2026-12-04T00:00:02.5Z","host":"front-1","code":"CS5204","msg":"request ended","request":"a1","outcome":"cut"}"#,
+    r#"  0.1 front-1 {"ts":"2026-12-03T23:59:59.5Z","host":"front-1","code":"CS5201","msg":"request routed","request":"a1","left_ms":3000}"#,
+    r#"{"ts":"2026-12-03T23:59:59.6Z","host":"front-1","code":"CS5202","msg":"target called","request":"a1","target":"t1"}"#,
+    r#"{"ts":"2026-12-04T00:00:01.0Z","host":"front-1","code":"CS5103","msg":"belief about a target changed","target":"t1","belief":"ejected"}"#,
+    r#"{"ts":"2026-12-04T00:00:01.1Z","host":"front-1","code":"CS5103","msg":"belief about a target changed","target":"t2","belief":"ejected"}"#,
+    r#"{"ts":"2026-12-04T00:00:01.2Z","host":"front-2","code":"CS5105","msg":"store lost"}"#,
+    "a line of another program {",
+];
+
+#[test]
+fn lines_are_told_in_order_with_what_happened_to_their_target() {
+    let told = history(LOG, "a1");
+    let starts = [
+        "23:59:59.5Z front-1: request routed",
+        "23:59:59.6Z",
+        "00:00:01.0Z",
+        "00:00:02.5Z",
+    ];
+    assert_eq!(told.len(), starts.len(), "{told:#?}");
+    for (line, start) in told.iter().zip(starts) {
+        assert!(line.contains(start), "{line} does not have {start}");
+    }
+    assert!(
+        told[2].contains(r#"belief "ejected", target "t1""#),
+        "{}",
+        told[2]
+    );
+}
+
+#[test]
+fn missing_end_is_said() {
+    let told = history(LOG[1..].iter().copied(), "a1");
+    assert!(
+        told.last()
+            .is_some_and(|line| line.starts_with("missing: its end")),
+        "{told:#?}"
+    );
+}
+
+#[test]
+fn unknown_request_has_no_history() {
+    assert!(history(LOG, "b1").is_empty());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -63,10 +63,18 @@
     #[bpaf(command, footer("Example: chervilspool status --json"))]
     Status(#[bpaf(external(entry_options))] EntryOptions),
     /// Explain what happened to a request, or why an engine gets the work it gets
-    #[bpaf(command, footer("Example: chervilspool explain bitacora-03"))]
+    #[bpaf(
+        command,
+        footer(
+            "Examples: chervilspool explain bitacora-03\n          chervilspool explain --log gateways.log 4dbe4390105c05c3"
+        )
+    )]
     Explain {
-        #[bpaf(external(entry_options))]
-        entry: EntryOptions,
+        #[bpaf(external(entry_options), optional)]
+        entry: Option<EntryOptions>,
+        /// Read the logs of gateways instead of asking an entry; `-` is standard input
+        #[bpaf(long, argument("FILE"))]
+        log: Vec<PathBuf>,
         /// Request id (`x-request-id` of the answer) or name of an engine
         #[bpaf(positional("REQUEST|ENGINE"))]
         subject: String,
--- a/src/cmd/inspect.rs
+++ b/src/cmd/inspect.rs
@@ -1,11 +1,19 @@
 //! `status`, `explain` and `audit`.
 
+use std::fs::File;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+
 use types::Revision;
 
 use crate::cli::EntryOptions;
 use crate::cmd::CommandResult;
 use crate::cmd::client;
 use crate::cmd::print;
+use crate::failure::EXIT_NOT_FOUND;
+use crate::failure::EXIT_USAGE;
+use crate::failure::Failure;
 use crate::output;
 
 pub(super) async fn status(options: &EntryOptions) -> CommandResult {
@@ -20,6 +28,33 @@
     Ok(())
 }
 
+/// Prints what logs of gateways say of a request.
+pub(super) fn history(files: &[PathBuf], request: &str) -> CommandResult {
+    if files.is_empty() {
+        let message = "name the entry to ask (--entry, --token-file) or the logs to read (--log)";
+        return Err(Failure::new(EXIT_USAGE, message));
+    }
+    let mut log = String::new();
+    for file in files {
+        let read = if file == Path::new("-") {
+            std::io::stdin().read_to_string(&mut log)
+        } else {
+            File::open(file).and_then(|mut opened| opened.read_to_string(&mut log))
+        };
+        read.map_err(|error| Failure::new(EXIT_USAGE, format!("{}: {error}", file.display())))?;
+        log.push('\n');
+    }
+    let told = gateway::history::history(log.lines(), request);
+    if told.is_empty() {
+        let message = format!("no line of the logs names request {request}");
+        return Err(Failure::new(EXIT_NOT_FOUND, message));
+    }
+    for line in told {
+        println!("{line}");
+    }
+    Ok(())
+}
+
 pub(super) async fn audit(
     options: &EntryOptions,
     before: Option<Revision>,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -33,7 +33,12 @@
         Cli::Service(command) => smol::block_on(service::run(command)),
         Cli::Engine(command) => smol::block_on(engine::run(command)),
         Cli::Status(entry) => smol::block_on(inspect::status(&entry)),
-        Cli::Explain { entry, subject } => smol::block_on(inspect::explain(&entry, &subject)),
+        Cli::Explain {
+            entry: Some(entry),
+            log,
+            subject,
+        } if log.is_empty() => smol::block_on(inspect::explain(&entry, &subject)),
+        Cli::Explain { log, subject, .. } => inspect::history(&log, &subject),
         Cli::Audit {
             entry,
             before,
