--- a/src/cli.rs
+++ b/src/cli.rs
@@ -65,9 +65,7 @@
     /// Explain what happened to a request, or why an engine gets the work it gets
     #[bpaf(
         command,
-        footer(
-            "Examples: chervilspool explain bitacora-03\n          chervilspool explain --log gateways.log 4dbe4390105c05c3"
-        )
+        footer("Example: chervilspool explain --log gateways.log 4dbe4390105c05c3")
     )]
     Explain {
         #[bpaf(external(entry_options), optional)]
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -286,3 +286,27 @@
         assert!(help.contains("Example: chervilspool "), "{command}\n{help}");
     }
 }
+
+#[test]
+fn explain_without_an_entry_reads_logs() {
+    let run = |words: &[&str]| {
+        let output = Process::new(env!("CARGO_BIN_EXE_chervilspool"))
+            .args(words)
+            .env_remove("CHERVILSPOOL_ENTRY")
+            .env_remove("CHERVILSPOOL_TOKEN_FILE")
+            .output()
+            .expect("the program runs");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code(), text)
+    };
+    let log = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("explain.log");
+    let line = r#"{"ts":"2026-12-04T00:00:02Z","host":"h","code":"CS5204","msg":"request ended","request":"a1","outcome":"cut"}"#;
+    std::fs::write(&log, line).expect("a file for the log");
+    let log = log.display().to_string();
+    let (status, text) = run(&["explain", "--log", &log, "a1"]);
+    assert_eq!(status, Some(0));
+    assert!(text.contains("request ended"), "{text}");
+    assert_eq!(run(&["explain", "--log", &log, "b1"]).0, Some(4));
+    assert_eq!(run(&["explain", "--log", "/nowhere", "a1"]).0, Some(2));
+    assert_eq!(run(&["explain", "a1"]).0, Some(2));
+}
