--- a/components/gateway/src/repeats.rs
+++ b/components/gateway/src/repeats.rs
@@ -4,12 +4,13 @@
 //! bound, repeats would multiply its load just when it can bear the least. Processes may not hear
 //! each other, so each one spends only its own share.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Width of one counter; the window moves in steps of this.
-const SLOT_MS: Duration = Duration::from_millis(500);
+use request::window;
+use request::window::Counts;
+use request::window::Window;
+
 /// Part of the allowance that is used; the rest covers calls that are counted at other moments
 /// at the target than here.
 const USED_PART: f64 = 0.8;
@@ -25,67 +26,40 @@
     pub window_ms: Duration,
 }
 
-#[derive(Debug)]
-struct Slot {
-    start: Instant,
-    requests: u32,
-    repeats: u32,
+impl RepeatAllowance {
+    /// Time over which a process counts: a counter begins up to its width before the window.
+    fn counted_ms(&self) -> Duration {
+        self.window_ms + window::SLOT_MS
+    }
 }
 
 /// Repeats of one service as this process has counted them.
 #[derive(Debug, Default)]
 pub struct RepeatBudget {
-    slots: VecDeque<Slot>,
+    window: Window,
 }
 
 impl RepeatBudget {
     /// Counts a request.
     pub fn count_request(&mut self, now: Instant, allowance: &RepeatAllowance) {
-        self.slot(now, allowance).requests += 1;
+        self.window.current(now, allowance.counted_ms()).requests += 1;
     }
 
     /// Counts a call that was a repeat.
     pub fn count_repeat(&mut self, now: Instant, allowance: &RepeatAllowance) {
-        self.slot(now, allowance).repeats += 1;
+        self.window.current(now, allowance.counted_ms()).repeats += 1;
     }
 
     /// Repeats that are left to this process, one of `processes`.
     #[must_use]
     pub fn left(&mut self, now: Instant, allowance: &RepeatAllowance, processes: usize) -> u32 {
-        self.expire(now, allowance);
-        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
-        let repeats: u32 = self.slots.iter().map(|slot| slot.repeats).sum();
+        let Counts { requests, repeats } = self.window.counts(now, allowance.counted_ms());
+        let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
         let processes = u32::try_from(processes.max(1)).unwrap_or(u32::MAX);
         let own_slack = allowance.slack / f64::from(processes);
-        let allowed = USED_PART * (allowance.ratio * f64::from(requests) + own_slack);
+        let allowed = USED_PART * (allowance.ratio * f64::from(count(requests)) + own_slack);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
         let allowed = allowed.floor() as u32;
-        allowed.saturating_sub(repeats)
-    }
-
-    fn slot(&mut self, now: Instant, allowance: &RepeatAllowance) -> &mut Slot {
-        self.expire(now, allowance);
-        let is_stale = self
-            .slots
-            .back()
-            .is_none_or(|slot| now.saturating_duration_since(slot.start) >= SLOT_MS);
-        if is_stale {
-            self.slots.push_back(Slot {
-                start: now,
-                requests: 0,
-                repeats: 0,
-            });
-        }
-        let last = self.slots.len() - 1;
-        &mut self.slots[last]
-    }
-
-    fn expire(&mut self, now: Instant, allowance: &RepeatAllowance) {
-        while let Some(slot) = self.slots.front() {
-            if now.saturating_duration_since(slot.start) < allowance.window_ms + SLOT_MS {
-                return;
-            }
-            self.slots.pop_front();
-        }
+        allowed.saturating_sub(count(repeats))
     }
 }
--- a/components/request/src/budget.rs
+++ b/components/request/src/budget.rs
@@ -3,10 +3,12 @@
 //! Without it, a service that fails most attempts would get up to `attempt_limit` times its
 //! load just when it can bear the least.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::window::Counts;
+use crate::window::Window;
+
 /// Retries are a tenth of the requests at most.
 const REQUESTS_PER_RETRY: u64 = 10;
 /// Retries allowed however few requests there are. Callers that wait for an answer send nothing
@@ -15,64 +17,27 @@
 const MIN_RETRIES: u64 = 20;
 /// Time over which requests and retries are counted.
 const WINDOW_MS: Duration = Duration::from_secs(10);
-/// Width of one counter; the window moves in steps of this.
-const SLOT_MS: Duration = Duration::from_millis(500);
-
-#[derive(Debug)]
-struct Slot {
-    start: Instant,
-    requests: u64,
-    retries: u64,
-}
 
 /// Retry budget of one service.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
-    slots: VecDeque<Slot>,
+    window: Window,
 }
 
 impl RetryBudget {
     /// Counts a request.
     pub fn count_request(&mut self, now: Instant) {
-        self.slot(now).requests += 1;
+        self.window.current(now, WINDOW_MS).requests += 1;
     }
 
     /// Takes one retry, if the budget has one left.
     pub fn take(&mut self, now: Instant) -> bool {
-        self.expire(now);
-        let requests: u64 = self.slots.iter().map(|slot| slot.requests).sum();
-        let retries: u64 = self.slots.iter().map(|slot| slot.retries).sum();
+        let Counts { requests, repeats } = self.window.counts(now, WINDOW_MS);
         let allowed = (requests / REQUESTS_PER_RETRY).max(MIN_RETRIES);
-        if retries >= allowed {
+        if repeats >= allowed {
             return false;
         }
-        self.slot(now).retries += 1;
+        self.window.current(now, WINDOW_MS).repeats += 1;
         true
     }
-
-    fn slot(&mut self, now: Instant) -> &mut Slot {
-        self.expire(now);
-        let fresh = self
-            .slots
-            .back()
-            .is_none_or(|slot| now.saturating_duration_since(slot.start) >= SLOT_MS);
-        if fresh {
-            self.slots.push_back(Slot {
-                start: now,
-                requests: 0,
-                retries: 0,
-            });
-        }
-        let last = self.slots.len() - 1;
-        &mut self.slots[last]
-    }
-
-    fn expire(&mut self, now: Instant) {
-        while let Some(slot) = self.slots.front() {
-            if now.saturating_duration_since(slot.start) < WINDOW_MS {
-                return;
-            }
-            self.slots.pop_front();
-        }
-    }
 }
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod sweep;
 mod takeover;
 mod tokens;
+pub mod window;
 
 pub use action::Action;
 pub use action::AttemptEnd;
