--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -204,11 +204,6 @@
             .map_err(|(error, _)| error)
     }
 
-    /// Closes idle connections.
-    pub fn close_idle(&self) {
-        self.pool.borrow_mut().clear();
-    }
-
     /// The error comes with whether the connection ended without a byte of the answer.
     async fn exchange(
         &self,
--- a/components/http/src/forward.rs
+++ b/components/http/src/forward.rs
@@ -12,20 +12,20 @@
 
 /// Fields that concern one connection, and those of the framing, which each connection has its
 /// own of. Trailers are not passed on, so neither is the field that announces them.
-const CONNECTION_FIELDS: [&str; 12] = [
+pub const CONNECTION_FIELDS: [&str; 8] = [
     "connection",
     "content-length",
-    "expect",
-    "host",
     "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
     "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
     "upgrade",
 ];
+/// Fields of requests that the next hop gets anew or not at all.
+pub const REQUEST_HOP_FIELDS: [&str; 3] = ["expect", "host", "proxy-authorization"];
+/// Fields of answers that the next hop does not get.
+pub const ANSWER_HOP_FIELDS: [&str; 1] = ["proxy-authenticate"];
 /// Fields of requests that belong to the system's own protocol with callers and targets.
 const OWN_REQUEST_FIELDS: [&str; 6] = [
     "content-type",
@@ -82,6 +82,8 @@
     for (name, values) in fields {
         let name = name.as_str();
         if CONNECTION_FIELDS.contains(&name)
+            || REQUEST_HOP_FIELDS.contains(&name)
+            || ANSWER_HOP_FIELDS.contains(&name)
             || options.iter().any(|option| option == name)
             || !is_wanted(name)
         {
@@ -97,7 +99,8 @@
 }
 
 /// Names in all `Connection` fields, in lower case.
-fn connection_options(fields: &Fields) -> Vec<String> {
+#[must_use]
+pub fn connection_options(fields: &Fields) -> Vec<String> {
     let Some(values) = fields.get("connection") else {
         return Vec::new();
     };
