--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -11,6 +11,7 @@
 use crate::deployment::EngineFacts;
 use crate::deployment::Repeat;
 use crate::deployment::Route;
+use crate::fleet::Fleet;
 use crate::fleet::Load;
 use crate::fleet::TargetKey;
 use crate::prefixes::PrefixHash;
@@ -23,14 +24,30 @@
     pub(super) key: TargetKey,
     pub(super) load: Load,
     pub(super) started: Instant,
-    /// Engine time of the reading at nominal speed, for learning.
-    pub(super) nominal_ms: f64,
     /// Time that earlier readings were expected to take there.
     pub(super) waiting_ms: f64,
     pub(super) is_prefill: bool,
     pub(super) transfer: Option<Transfer>,
 }
 
+impl Current {
+    /// The target has read the prompt.
+    pub(super) fn has_read(&mut self, now: Instant, fleet: &mut Fleet) {
+        let reading_ms = std::mem::take(&mut self.load.reading_ms);
+        if reading_ms <= 0.0 {
+            return;
+        }
+        let read = Load {
+            reading_ms,
+            runs: 0.0,
+        };
+        fleet.end(now, &self.target, self.key, read);
+        let took = now.saturating_duration_since(self.started);
+        let took_ms = took.as_secs_f64() * 1e3;
+        fleet.has_read(&self.target, reading_ms, self.waiting_ms, took_ms);
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Active {
     pub(super) request: Rc<CallerRequest>,
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -27,8 +27,11 @@
         let Some(mut active) = self.requests.remove(&number) else {
             return Decision::End(Ending::Done);
         };
-        let call = active.current.take();
-        if let Some(call) = &call {
+        let mut call = active.current.take();
+        if let Some(call) = &mut call {
+            if matches!(outcome, Outcome::Prefilled(_)) {
+                call.has_read(now, &mut self.fleet);
+            }
             self.fleet.end(now, &call.target, call.key, call.load);
             self.learn(now, &active, call, &outcome);
         }
@@ -44,14 +47,9 @@
     /// What a call's outcome says of its target.
     fn learn(&mut self, now: Instant, active: &Active, call: &Current, outcome: &Outcome) {
         let took = now.saturating_duration_since(call.started);
-        let took_ms = took.as_secs_f64() * 1e3;
         let target = &call.target;
         match outcome {
-            Outcome::Prefilled(_) => {
-                self.fleet.succeeded(target);
-                self.fleet
-                    .has_read(target, call.nominal_ms, call.waiting_ms, took_ms);
-            }
+            Outcome::Prefilled(_) => self.fleet.succeeded(target),
             Outcome::Answered { status } if *status < 500 => self.fleet.succeeded(target),
             Outcome::NotRun {
                 is_other_process: true,
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -29,7 +29,6 @@
 use crate::deployment::Repeat;
 use crate::fleet::Belief;
 use crate::fleet::Fleet;
-use crate::fleet::Load;
 use crate::fleet::TargetKey;
 use crate::note::Note;
 use crate::prefixes;
@@ -297,22 +296,9 @@
         };
         let since_arrival = now.saturating_duration_since(active.received);
         active.first_ms.get_or_insert(millis(since_arrival));
-        let Some(current) = &mut active.current else {
-            return;
-        };
-        let reading_ms = std::mem::take(&mut current.load.reading_ms);
-        if reading_ms <= 0.0 {
-            return;
+        if let Some(current) = &mut active.current {
+            current.has_read(now, &mut self.fleet);
         }
-        let read = Load {
-            reading_ms,
-            runs: 0.0,
-        };
-        self.fleet.end(now, &current.target, current.key, read);
-        let took = now.saturating_duration_since(current.started);
-        let took_ms = took.as_secs_f64() * 1e3;
-        self.fleet
-            .has_read(&current.target, reading_ms, current.waiting_ms, took_ms);
     }
 
     /// Whether a failure that a target answered with is better kept from the caller and the
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -23,7 +23,6 @@
 use crate::deployment::EngineFacts;
 use crate::deployment::Repeat;
 use crate::fleet::Load;
-use crate::fleet::Member;
 use crate::note::Note;
 use crate::placement;
 use crate::placement::Choice;
@@ -47,7 +46,6 @@
     step: Step,
     patience_ms: Duration,
     load: Load,
-    nominal_ms: f64,
     expected_ms: f64,
     new_tokens: u64,
 }
@@ -63,7 +61,6 @@
                 reading_ms: 0.0,
                 runs: 1.0,
             },
-            nominal_ms: 0.0,
             expected_ms: 0.0,
             new_tokens: 0,
         }
@@ -154,12 +151,10 @@
             return Err(no_target());
         };
         self.admit(now, active, &choice)?;
-        let slowness = self.fleet.get(&choice.target).map_or(1.0, Member::slowness);
         let is_prefill = choice.role == Role::Prefill;
         let left = active.left(now);
         let patience_ms = if is_prefill {
-            let expected_ms = choice.first_event_ms.max(choice.reading_ms * slowness);
-            let patience_ms = expected_ms * PREFILL_PATIENCE_FACTOR + PREFILL_PATIENCE_MS;
+            let patience_ms = choice.first_event_ms * PREFILL_PATIENCE_FACTOR + PREFILL_PATIENCE_MS;
             left.min(Duration::from_secs_f64(patience_ms / 1e3))
         } else {
             left
@@ -176,7 +171,6 @@
                 reading_ms: choice.reading_ms,
                 runs: 1.0,
             },
-            nominal_ms: choice.reading_ms,
             expected_ms: choice.first_event_ms,
             new_tokens: choice.new_tokens,
         })
@@ -258,7 +252,6 @@
             key,
             load: planned.load,
             started: now,
-            nominal_ms: planned.nominal_ms,
             waiting_ms,
             is_prefill,
             transfer,
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -147,7 +147,7 @@
 #[derive(Debug)]
 struct Peer {
     heard: Instant,
-    loads: Vec<PeerLoad>,
+    loads: HashMap<TargetKey, Load>,
 }
 
 /// What changed in the belief about a target, for logs.
@@ -408,15 +408,17 @@
 
     /// Replaces what a peer reported before.
     pub fn peer_reported(&mut self, now: Instant, host: &HostName, loads: Vec<PeerLoad>) {
-        let before = self.reading_of_others();
-        self.forget_peer(host);
-        for reported in &loads {
-            if let Some(member) = self.by_key(reported.key) {
-                member.others.add(reported.load);
+        let loads: HashMap<_, _> = loads.into_iter().map(|r| (r.key, r.load)).collect();
+        let before = self.peers.remove(host);
+        for member in self.members.values_mut() {
+            let known_ms = member.others.reading_ms;
+            if let Some(load) = before.as_ref().and_then(|b| b.loads.get(&member.key)) {
+                member.others.subtract(*load);
             }
-        }
-        for (member, before_ms) in self.members.values_mut().zip(before) {
-            let more_ms = member.others.reading_ms - before_ms;
+            if let Some(load) = loads.get(&member.key) {
+                member.others.add(*load);
+            }
+            let more_ms = member.others.reading_ms - known_ms;
             if more_ms > 0.0 {
                 member.has_more_to_read(now, more_ms);
             } else if more_ms < 0.0 {
@@ -458,11 +460,6 @@
         .collect()
     }
 
-    fn reading_of_others(&self) -> Vec<f64> {
-        let members = self.members.values();
-        members.map(|member| member.others.reading_ms).collect()
-    }
-
     fn is_after_outage(&self, now: Instant) -> bool {
         match self.store {
             StoreState::Steady => false,
@@ -481,9 +478,9 @@
         let Some(peer) = self.peers.remove(host) else {
             return;
         };
-        for reported in peer.loads {
-            if let Some(member) = self.by_key(reported.key) {
-                member.others.subtract(reported.load);
+        for member in self.members.values_mut() {
+            if let Some(load) = peer.loads.get(&member.key) {
+                member.others.subtract(*load);
             }
         }
     }
