--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -11,7 +11,6 @@
 use http::Request;
 use http::ServerLimits;
 use http::StreamingResponse;
-use smol::Timer;
 use types::RunState;
 
 use crate::core::Decision;
@@ -20,6 +19,7 @@
 use crate::core::RequestNumber;
 use crate::daemon::Daemon;
 use crate::daemon::relay;
+use crate::daemon::within;
 use crate::protocol::Call;
 use crate::protocol::CallerRequest;
 use crate::protocol::Step;
@@ -124,14 +124,6 @@
     }
 }
 
-async fn within<T>(limit: Duration, awaited: impl Future<Output = T>) -> Option<T> {
-    let late = async {
-        Timer::after(limit).await;
-        None
-    };
-    smol::future::or(async { Some(awaited.await) }, late).await
-}
-
 fn failed(error: ClientError, is_started: bool) -> Outcome {
     let was_sent = error.was_sent();
     let (ClientError::NotSent { detail } | ClientError::Interrupted { detail }) = error;
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -274,8 +274,15 @@
             let _ = response.into_whole().await;
         }
     };
+    // The same for memory whose engine does not answer.
+    let _ = within(RELEASE_MS, Box::pin(call)).await;
+}
+
+/// What a future gives, unless that takes longer than `limit_ms`.
+pub(super) async fn within<T>(limit_ms: Duration, awaited: impl Future<Output = T>) -> Option<T> {
     let late = async {
-        Timer::after(RELEASE_MS).await;
+        Timer::after(limit_ms).await;
+        None
     };
-    smol::future::or(call, late).await;
+    smol::future::or(async { Some(awaited.await) }, late).await
 }
--- a/components/gateway/src/daemon/relay.rs
+++ b/components/gateway/src/daemon/relay.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http::ClientError;
 use http::Exchange;
 use http::HungUp;
 use http::StreamingResponse;
@@ -11,6 +10,7 @@
 
 use crate::core::Outcome;
 use crate::daemon::callers::OpenCall;
+use crate::daemon::within;
 use crate::events::EventSplitter;
 
 /// Relays an answer after it has arrived whole, so that a failure can still be reported.
@@ -23,20 +23,17 @@
     let status = u16::from(response.status);
     let daemon = open.daemon;
     let head = daemon.protocol.answer_head(status, &response.headers);
-    let late = async {
-        Timer::after(left).await;
-        Err(ClientError::Interrupted {
-            detail: "the body did not arrive in time".to_owned(),
-        })
-    };
-    let body = match exchange.or_hang_up(response.into_whole().or(late)).await {
+    let lost = |detail: String| Outcome::Lost { detail };
+    let body = match exchange
+        .or_hang_up(within(left, response.into_whole()))
+        .await
+    {
         Err(HungUp) => return Outcome::Abandoned,
-        Ok(Err(error)) => {
-            return Outcome::Lost {
-                detail: error.to_string(),
-            };
+        Ok(None) => {
+            return lost("the answer was interrupted: the body did not arrive in time".to_owned());
         }
-        Ok(Ok(whole)) => whole.body,
+        Ok(Some(Err(error))) => return lost(error.to_string()),
+        Ok(Some(Ok(whole))) => whole.body,
     };
     let now = daemon.clock.now();
     if status >= 500 && daemon.core.borrow_mut().try_again(now, open.number) {
--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -40,6 +40,12 @@
 
 use crate::Process;
 
+/// Table of the engines' entries.
+const ENTRIES_TABLE: &str = "servers";
+/// Row of the configuration, as logs name it.
+pub const CONFIGURATION_ROW: &str = "op/config";
+/// Field in which an engine signs its answers.
+pub const SIGNATURE: &str = "x-response-signature";
 /// Host that all routes are for.
 pub const HOST: &str = "desk.example";
 /// Service with prefill and decode engines.
@@ -164,13 +170,23 @@
         if let Some(role) = role {
             entry["stage"] = role.into();
         }
-        self.store
-            .put("servers", name, entry.to_string().as_bytes());
+        self.write_entry(name, entry.to_string().as_bytes());
+    }
+
+    /// Writes any bytes as the entry of an engine.
+    pub fn write_entry(&self, name: &str, bytes: &[u8]) {
+        self.store.put(ENTRIES_TABLE, name, bytes);
+    }
+
+    /// Writes any bytes as the configuration.
+    pub fn write_configuration(&self, bytes: &[u8]) {
+        let (table, key) = CONFIGURATION_ROW.split_once('/').unwrap_or_default();
+        self.store.put(table, key, bytes);
     }
 
     /// Removes the entry of an engine.
     pub fn unregister(&self, name: &str) {
-        self.store.remove("servers", name);
+        self.store.remove(ENTRIES_TABLE, name);
     }
 
     /// Changes how all engines of a stage behave, or all of them.
@@ -215,8 +231,7 @@
             "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
                         "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000 },
         });
-        let text = configuration.to_string();
-        self.store.put("op", "config", text.as_bytes());
+        self.write_configuration(configuration.to_string().as_bytes());
     }
 
     /// Asks whether a gateway takes callers.
@@ -319,6 +334,12 @@
     }
 }
 
+/// Row of an engine's entry, as logs name it.
+#[must_use]
+pub fn entry_row(name: &str) -> String {
+    format!("{ENTRIES_TABLE}/{name}")
+}
+
 /// A loopback address that no other gateway of this process or of a neighbouring one has.
 fn own_address() -> String {
     static TAKEN: AtomicU8 = AtomicU8::new(1);
