--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -27,6 +27,8 @@
     /// Expected time for the prefills queued at the target before this call.
     pub(super) waiting_ms: f64,
     pub(super) is_prefill: bool,
+    /// Step as logs and metrics name it.
+    pub(super) step: &'static str,
     pub(super) transfer: Option<Transfer>,
 }
 
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -90,6 +90,8 @@
         self.log_events.push(LogEvent::CallEnded {
             request: active.request.id.clone(),
             target: target.clone(),
+            step: call.step,
+            kind: outcome.label(),
             outcome: outcome.to_string(),
             took_ms: millis(took),
         });
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -105,6 +105,24 @@
     Abandoned,
 }
 
+impl CallOutcome {
+    /// Kind of outcome, for the metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Prefilled(_) => "prefilled",
+            Self::NotRun { .. } => "not-run",
+            Self::NotSent { .. } => "not-sent",
+            Self::AnswerLost { .. } => "answer-lost",
+            Self::Failed { .. } => "failed",
+            Self::Broken { .. } => "broken",
+            Self::HeadTimedOut | Self::TimedOut { .. } => "timed-out",
+            Self::Answered { .. } => "answered",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 impl fmt::Display for CallOutcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -239,8 +239,9 @@
         if is_prefill {
             active.prefills += 1;
         }
+        let is_retry = !is_uncounted && active.arrivals > 0;
         if !is_uncounted {
-            if active.arrivals > 0 {
+            if is_retry {
                 let allowance = self.settings.retries;
                 let budget = self.budgets.entry(active.service.clone()).or_default();
                 budget.count_retry(now, &allowance);
@@ -257,19 +258,21 @@
                 tokens: planned.new_tokens,
             });
         }
+        let step = match &planned.step {
+            Step::Prefill => "prefill",
+            Step::Run(None) => "run",
+            Step::Run(Some(_)) => "run-after-transfer",
+        };
         self.log_events.push(LogEvent::TargetCalled {
             request: active.request.id.clone(),
             target: planned.target.clone(),
-            step: match &planned.step {
-                Step::Prefill => "prefill",
-                Step::Run(None) => "run",
-                Step::Run(Some(_)) => "run-after-transfer",
-            },
+            step,
             call: active.calls,
             expected_ms: rounded(planned.expected_ms),
             waiting_ms: rounded(waiting_ms),
             running: rounded(running),
             new_tokens: planned.new_tokens,
+            retry_of: is_retry.then(|| active.service.clone()),
         });
         let transfer = match &planned.step {
             Step::Run(transfer) => transfer.clone(),
@@ -282,6 +285,7 @@
             started: now,
             waiting_ms,
             is_prefill,
+            step,
             transfer,
         });
         Decision::Call(Box::new(NextCall {
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -5,6 +5,7 @@
 
 use http::ClientError;
 use http::Exchange;
+use http::ForwardError;
 use http::Handler;
 use http::HandlerFuture;
 use http::Problem;
@@ -127,12 +128,18 @@
     }
 }
 
-fn transport_outcome(error: ClientError, is_started: bool) -> CallOutcome {
-    let was_sent = error.was_sent();
-    let (ClientError::NotSent { detail } | ClientError::Interrupted { detail }) = error;
-    if !was_sent {
-        CallOutcome::NotSent { detail }
-    } else if is_started {
+fn transport_outcome(error: ForwardError, is_started: bool) -> CallOutcome {
+    let detail = match error.cause {
+        ClientError::NotSent { detail } => return CallOutcome::NotSent { detail },
+        ClientError::Interrupted { detail } => detail,
+    };
+    let connection = if error.is_reused_connection {
+        "reused"
+    } else {
+        "new"
+    };
+    let detail = format!("{detail}, on a {connection} connection");
+    if is_started {
         CallOutcome::Broken {
             last_event: None,
             is_started,
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -37,8 +37,17 @@
     /// Updates the metrics for a log event.
     pub(super) fn record(event: &LogEvent) {
         match event {
-            LogEvent::TargetCalled { step, .. } => {
+            LogEvent::TargetCalled { step, retry_of, .. } => {
                 counter!("chervilspool_calls_total", "step" => *step).increment(1);
+                if let Some(service) = retry_of {
+                    counter!("chervilspool_retries_total", "service" => service.clone())
+                        .increment(1);
+                }
+            }
+            LogEvent::CallEnded { step, kind, .. } => {
+                counter!("chervilspool_unanswered_calls_total", "step" => *step,
+                    "outcome" => *kind)
+                .increment(1);
             }
             LogEvent::RequestEnded {
                 route,
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -233,18 +233,22 @@
             waiting_ms,
             running,
             new_tokens,
+            retry_of,
         } => info!(logger, "target called";
             "code" => "CS5202", "request" => truncated(request), "target" => truncated(target),
             "step" => step, "call" => call, "expected_ms" => expected_ms,
-            "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens),
+            "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
+            "is_retry" => retry_of.is_some()),
         LogEvent::CallEnded {
             request,
             target,
+            step,
             outcome,
             took_ms,
+            ..
         } => info!(logger, "call ended";
             "code" => "CS5203", "request" => truncated(request), "target" => truncated(target),
-            "outcome" => truncated(outcome), "took_ms" => took_ms),
+            "step" => step, "outcome" => truncated(outcome), "took_ms" => took_ms),
         LogEvent::RequestEnded {
             request,
             route,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -108,6 +108,8 @@
         running: u64,
         /// Prompt tokens that are not in the target's prefix cache.
         new_tokens: u64,
+        /// Name of the service whose retry budget the call is taken from; `None` if it is no retry.
+        retry_of: Option<ServiceName>,
     },
     /// A call ended without an answer to the caller.
     CallEnded {
@@ -115,6 +117,10 @@
         request: CallerRequestId,
         /// Name of the target.
         target: TargetName,
+        /// `prefill`, `run` or `run-after-transfer`.
+        step: &'static str,
+        /// Kind of the [`crate::core::CallOutcome`].
+        kind: &'static str,
         /// Text of the [`crate::core::CallOutcome`].
         outcome: String,
         /// Duration of the call.
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -24,6 +24,7 @@
 use smol::net::TcpStream;
 
 use crate::error::ClientError;
+use crate::error::ForwardError;
 use crate::limits::ClientLimits;
 use crate::response;
 use crate::response::BufferedResponse;
@@ -186,14 +187,23 @@
         body: &[u8],
         is_head_only: bool,
         is_match: impl Fn(&Headers) -> bool,
-    ) -> Result<StreamingResponse, ClientError> {
-        let mut connection = self.connect().await?;
+    ) -> Result<StreamingResponse, ForwardError> {
+        let not_connected = |cause| ForwardError {
+            cause,
+            is_reused_connection: false,
+        };
+        let mut connection = self.connect().await.map_err(not_connected)?;
+        let is_reused_connection = connection.is_reused;
+        let failed = |(cause, _)| ForwardError {
+            cause,
+            is_reused_connection,
+        };
         connection.watchdog.set(self.limits.head_ms);
         let bytes = [head, body].concat();
         let mut input = Vec::new();
         let has_sent_request = write_until_response(&mut connection, &bytes, &mut input)
             .await
-            .map_err(|(error, _)| error)?;
+            .map_err(failed)?;
         let expected = Expected {
             is_head_only,
             has_sent_request,
@@ -201,7 +211,7 @@
         };
         response::read_head(connection, input, self.limits, self.pool.clone(), expected)
             .await
-            .map_err(|(error, _)| error)
+            .map_err(failed)
     }
 
     /// The error comes with a flag: the connection failed before the first byte of the response.
--- a/components/http/src/error.rs
+++ b/components/http/src/error.rs
@@ -49,6 +49,23 @@
     }
 }
 
+/// A forwarded request without the head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardError {
+    /// Whether the request was sent, and why there is no response.
+    pub cause: ClientError,
+    /// The connection had carried an earlier request.
+    pub is_reused_connection: bool,
+}
+
+impl fmt::Display for ForwardError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.cause.fmt(f)
+    }
+}
+
+impl std::error::Error for ForwardError {}
+
 impl fmt::Display for ClientError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -30,6 +30,7 @@
 pub use body::Framing;
 pub use client::Client;
 pub use error::ClientError;
+pub use error::ForwardError;
 pub use error::HungUp;
 pub use exchange::Exchange;
 pub use forward::CONNECTION_FIELDS;
