--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -8,6 +8,7 @@
 use types::ServiceName;
 use types::TargetName;
 
+use crate::core::arrivals::Arrivals;
 use crate::deployment::EngineSpec;
 use crate::deployment::RetryPolicy;
 use crate::deployment::Route;
@@ -60,12 +61,10 @@
     pub(super) received: Instant,
     pub(super) deadline: Instant,
     pub(super) tried_targets: SmallVec<[TargetName; 4]>,
-    /// Calls counted as arrivals at the service; each one after the first is a retry.
-    pub(super) arrivals: u32,
+    pub(super) arrivals: Arrivals,
     pub(super) calls: u32,
     /// Calls that may have run the request; bounded by the route's `attempt_limit`.
     pub(super) runs: u32,
-    pub(super) prefills: u32,
     pub(super) current: Option<CurrentCall>,
     pub(super) transfer: Option<Transfer>,
     pub(super) last_event: Option<String>,
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -106,9 +106,7 @@
         outcome: &CallOutcome,
     ) -> Option<Ending> {
         let is_run = call.as_ref().is_some_and(|call| !call.is_prefill);
-        if !is_run && matches!(outcome, CallOutcome::NotRun { .. }) {
-            active.arrivals += 1;
-        }
+        active.arrivals.count(outcome);
         let target = call.as_ref().map(|call| call.target.clone());
         let transfer = call.and_then(|call| call.transfer);
         if is_run
@@ -173,7 +171,7 @@
     }
 
     fn may_retry(&mut self, now: Instant, active: &ActiveRequest) -> bool {
-        active.arrivals == 0 || self.retries_left(now, &active.service) > 0
+        self.retries_left(now, &active.service) >= active.arrivals.missing_retries(false)
     }
 }
 
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! while no call can have run.
 
 mod active;
+mod arrivals;
 mod conclude;
 mod decision;
 mod plan;
@@ -41,6 +42,7 @@
 use crate::routes;
 
 use self::active::ActiveRequest;
+use self::arrivals::Arrivals;
 pub use self::decision::CallOutcome;
 pub use self::decision::Decision;
 pub use self::decision::Ending;
@@ -263,10 +265,9 @@
             received: now,
             deadline: now + timeout,
             tried_targets: SmallVec::new(),
-            arrivals: 0,
+            arrivals: Arrivals::default(),
             calls: 0,
             runs: 0,
-            prefills: 0,
             current: None,
             transfer: None,
             last_event: None,
@@ -318,7 +319,9 @@
             return false;
         }
         let service = active.service.clone();
-        self.retries_left(now, &service) > 0
+        // The call is counted when its end is reported.
+        let missing = active.arrivals.missing_retries(false) + 1;
+        self.retries_left(now, &service) >= missing
     }
 
     fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
@@ -328,6 +331,13 @@
         budget.left(now, &allowance, processes)
     }
 
+    fn take_retries(&mut self, now: Instant, active: &mut ActiveRequest, retries: u32) {
+        active.arrivals.add_taken(retries);
+        let allowance = self.settings.retries;
+        let budget = self.budgets.entry(active.service.clone()).or_default();
+        budget.take(now, &allowance, retries);
+    }
+
     fn finish(
         &mut self,
         now: Instant,
@@ -338,6 +348,12 @@
         if let Some(transfer) = active.transfer {
             self.unused_transfers.push(transfer);
         }
+        let unused_retries = active.arrivals.unused_retries();
+        if unused_retries > 0 {
+            let allowance = self.settings.retries;
+            let budget = self.budgets.entry(active.service.clone()).or_default();
+            budget.give_back(now, &allowance, unused_retries);
+        }
         let (label, detail, status) = describe(ending, outcome);
         self.log_events.push(LogEvent::RequestEnded {
             request: active.request.id.clone(),
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -129,11 +129,13 @@
         let Some(work) = &request.work else {
             return Err(no_target());
         };
+        let retries_left = self.retries_left(now, &active.service);
         let targets = self.fleet.usable(&active.service, now);
         let placement_request = PlacementRequest {
             work,
             hashes: &active.hashes,
             tried_targets: &active.tried_targets,
+            may_transfer: retries_left >= active.arrivals.missing_retries(true),
         };
         if let Some(transfer) = active.transfer.take() {
             let source = self.fleet.get(&transfer.source);
@@ -234,20 +236,8 @@
         let (waiting_ms, running) = (state.wait_ms(now), state.load().runs);
         let is_prefill = planned.step == Step::Prefill;
         active.calls += 1;
-        // The first prefill of a request is not counted as an arrival unless it is refused.
-        let is_uncounted = is_prefill && active.prefills == 0;
-        if is_prefill {
-            active.prefills += 1;
-        }
-        let is_retry = !is_uncounted && active.arrivals > 0;
-        if !is_uncounted {
-            if is_retry {
-                let allowance = self.settings.retries;
-                let budget = self.budgets.entry(active.service.clone()).or_default();
-                budget.count_retry(now, &allowance);
-            }
-            active.arrivals += 1;
-        }
+        let retries = active.arrivals.missing_retries(is_prefill);
+        self.take_retries(now, active, retries);
         self.fleet.add_load(now, &planned.target, planned.load);
         if active.engine.is_some() {
             self.fleet
@@ -272,7 +262,8 @@
             waiting_ms: rounded(waiting_ms),
             running: rounded(running),
             new_tokens: planned.new_tokens,
-            retry_of: is_retry.then(|| active.service.clone()),
+            service: active.service.clone(),
+            retries,
         });
         let transfer = match &planned.step {
             Step::Run(transfer) => transfer.clone(),
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -37,12 +37,15 @@
     /// Updates the metrics for a log event.
     pub(super) fn record(event: &LogEvent) {
         match event {
-            LogEvent::TargetCalled { step, retry_of, .. } => {
+            LogEvent::TargetCalled {
+                step,
+                service,
+                retries,
+                ..
+            } => {
                 counter!("chervilspool_calls_total", "step" => *step).increment(1);
-                if let Some(service) = retry_of {
-                    counter!("chervilspool_retries_total", "service" => service.clone())
-                        .increment(1);
-                }
+                counter!("chervilspool_retries_total", "service" => service.clone())
+                    .increment(u64::from(*retries));
             }
             LogEvent::CallEnded { step, kind, .. } => {
                 counter!("chervilspool_unanswered_calls_total", "step" => *step,
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -233,12 +233,13 @@
             waiting_ms,
             running,
             new_tokens,
-            retry_of,
+            retries,
+            ..
         } => info!(logger, "target called";
             "code" => "CS5202", "request" => truncated(request), "target" => truncated(target),
             "step" => step, "call" => call, "expected_ms" => expected_ms,
             "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
-            "is_retry" => retry_of.is_some()),
+            "retries" => retries),
         LogEvent::CallEnded {
             request,
             target,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -108,8 +108,10 @@
         running: u64,
         /// Prompt tokens that are not in the target's prefix cache.
         new_tokens: u64,
-        /// Name of the service whose retry budget the call is taken from; `None` if it is no retry.
-        retry_of: Option<ServiceName>,
+        /// Name of the service.
+        service: ServiceName,
+        /// Retries taken from the budget of the service for the call.
+        retries: u32,
     },
     /// A call ended without an answer to the caller.
     CallEnded {
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -68,6 +68,8 @@
     pub hashes: &'a [PrefixHash],
     /// Targets that have refused or failed a call of this request.
     pub tried_targets: &'a [TargetName],
+    /// Whether another engine than that of the run may do the prefill, which takes one more call.
+    pub may_transfer: bool,
 }
 
 /// Chooses the engine for the prefill: the best trade-off of time to first event and engine time.
@@ -79,12 +81,13 @@
     request: &PlacementRequest<'_>,
     now: Instant,
 ) -> Option<Placement> {
-    let has_decode_engine = targets
-        .iter()
-        .any(|state| state.entry.role != Role::Prefill);
+    let may_transfer = request.may_transfer
+        && targets
+            .iter()
+            .any(|state| state.entry.role != Role::Prefill);
     let candidates = targets.iter().filter(|state| {
         !request.tried_targets.contains(&state.entry.name)
-            && (state.entry.role != Role::Prefill || has_decode_engine)
+            && (state.entry.role != Role::Prefill || may_transfer)
     });
     let placements = candidates.map(|state| score(state, prefix_index, spec, request, now));
     let best = placements.min_by(|(a, _), (b, _)| a.total_cmp(b));
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -47,11 +47,17 @@
             .requests += 1;
     }
 
-    /// Counts a retry, which is taken from the budget.
-    pub fn count_retry(&mut self, now: Instant, allowance: &RetryAllowance) {
+    /// Takes retries from the budget.
+    pub fn take(&mut self, now: Instant, allowance: &RetryAllowance, retries: u32) {
         self.window
             .current_slot(now, allowance.counted_ms())
-            .retries += 1;
+            .retries += u64::from(retries);
+    }
+
+    /// Returns retries that were taken and not made. Those taken in an earlier slot stay counted.
+    pub fn give_back(&mut self, now: Instant, allowance: &RetryAllowance, retries: u32) {
+        let slot = self.window.current_slot(now, allowance.counted_ms());
+        slot.retries = slot.retries.saturating_sub(u64::from(retries));
     }
 
     /// Retries left to this process if the allowance is divided by `processes`.
