--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use types::TargetName;
+
 use crate::core::Core;
 use crate::core::MIN_CALL_MS;
 use crate::core::RequestNumber;
@@ -14,8 +17,10 @@
 use crate::core::millis;
 use crate::core::plan;
 use crate::deployment::RetryPolicy;
+use crate::fleet::TargetKey;
 use crate::log_event::LogEvent;
 use crate::protocol::Transfer;
+use crate::speed;
 
 /// Minimum time without an answer that counts as a failure of the target. The data sheets give
 /// plain requests about ten milliseconds of work.
@@ -66,8 +71,11 @@
             CallOutcome::NotRun {
                 is_other_process: true,
                 ..
+            } => self.report_unreachable(now, call),
+            // The fault may be on this host, so peers are not told.
+            CallOutcome::NotSent { .. } => {
+                self.set_unreachable(now, target);
             }
-            | CallOutcome::NotSent { .. } => self.fleet.record_unreachable(now, target),
             // The route may give the request less time than its work takes.
             CallOutcome::TimedOut { is_started: false } if took < MIN_FAILURE_TIMEOUT_MS => {}
             CallOutcome::Answered { .. }
@@ -78,6 +86,9 @@
             | CallOutcome::TimedOut { is_started: false } => {
                 let change = self.fleet.record_failure(now, target);
                 self.log_target_change(target.clone(), change);
+                if self.has_stopped_serving(active, call, took, outcome) {
+                    self.report_unreachable(now, call);
+                }
             }
             CallOutcome::TimedOut { .. } | CallOutcome::NotRun { .. } | CallOutcome::Abandoned => {}
         }
@@ -97,6 +108,52 @@
         });
     }
 
+    /// Whether a call failed as it does at a target whose process is gone: on a connection that was
+    /// accepted, before an engine could have answered, or on several such connections in a row.
+    fn has_stopped_serving(
+        &mut self,
+        active: &ActiveRequest,
+        call: &CurrentCall,
+        took: Duration,
+        outcome: &CallOutcome,
+    ) -> bool {
+        let is_new_connection = matches!(
+            outcome,
+            CallOutcome::AnswerLost {
+                is_new_connection: true,
+                ..
+            }
+        );
+        let is_before_any_answer =
+            active.engine.is_some() && took.as_secs_f64() * 1e3 < speed::FIRST_EVENT_MS;
+        is_new_connection
+            && (self.fleet.record_lost_connection(&call.target) || is_before_any_answer)
+    }
+
+    /// Takes a target out of use, and tells the peers unless it was out of use already.
+    fn report_unreachable(&mut self, now: Instant, call: &CurrentCall) {
+        if self.set_unreachable(now, &call.target) {
+            self.unreachable_reports.push(call.key);
+        }
+    }
+
+    /// Takes a target out of use. Returns whether it was in use.
+    fn set_unreachable(&mut self, now: Instant, target: &TargetName) -> bool {
+        let draw = self.random.random();
+        let change = self.fleet.record_unreachable(now, target, draw);
+        let was_in_use = change.is_some();
+        self.log_target_change(target.clone(), change);
+        was_in_use
+    }
+
+    /// Applies a peer's report that a target does not take calls.
+    pub fn peer_reports_unreachable(&mut self, now: Instant, key: TargetKey) {
+        let draw = self.random.random();
+        if let Some((target, change)) = self.fleet.record_report(now, key, draw) {
+            self.log_target_change(target, Some(change));
+        }
+    }
+
     /// Updates the request after a call; `Some` if the outcome ends it.
     fn update_request(
         &mut self,
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -26,6 +26,8 @@
     /// Longest wait for the head of the answer; less than `call.time_left_ms` for prefills and if a
     /// retry can follow.
     pub head_timeout_ms: Duration,
+    /// Idle connections to the target may lead to a process that is gone.
+    pub needs_new_connection: bool,
 }
 
 /// How a request is completed.
@@ -74,6 +76,8 @@
     AnswerLost {
         /// Cause.
         detail: String,
+        /// A connection that was opened for this call failed before the head of an answer.
+        is_new_connection: bool,
     },
     /// The target answered with a 5xx status, which is withheld in favour of a retry.
     Failed {
@@ -106,6 +110,15 @@
 }
 
 impl CallOutcome {
+    /// An answer that was lost for another reason than a failed connection.
+    #[must_use]
+    pub fn unusable(detail: impl Into<String>) -> Self {
+        Self::AnswerLost {
+            detail: detail.into(),
+            is_new_connection: false,
+        }
+    }
+
     /// Kind of outcome, for the metrics.
     #[must_use]
     pub fn label(&self) -> &'static str {
@@ -136,7 +149,7 @@
             ),
             Self::NotRun { status, .. } => write!(f, "not run: status {status}"),
             Self::NotSent { detail } => write!(f, "not sent: {detail}"),
-            Self::AnswerLost { detail } => write!(f, "answer lost: {detail}"),
+            Self::AnswerLost { detail, .. } => write!(f, "answer lost: {detail}"),
             Self::Failed { status } => write!(f, "failed: status {status}"),
             Self::Broken {
                 last_event: Some(event),
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -94,6 +94,7 @@
     log_events: Vec<LogEvent>,
     unused_transfers: Vec<Transfer>,
     prefill_reports: Vec<PrefillReport>,
+    unreachable_reports: Vec<TargetKey>,
 }
 
 impl Core {
@@ -113,6 +114,7 @@
             log_events: Vec::new(),
             unused_transfers: Vec::new(),
             prefill_reports: Vec::new(),
+            unreachable_reports: Vec::new(),
         }
     }
 
@@ -155,6 +157,11 @@
         std::mem::take(&mut self.prefill_reports)
     }
 
+    /// Takes the targets that do not take calls and have not been reported to the peers yet.
+    pub fn take_unreachable_reports(&mut self) -> Vec<TargetKey> {
+        std::mem::take(&mut self.unreachable_reports)
+    }
+
     /// Queues an event of the daemon for the log.
     pub fn log_event(&mut self, event: LogEvent) {
         self.log_events.push(event);
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -234,6 +234,7 @@
         };
         let (address, key) = (state.entry.address, state.key);
         let (waiting_ms, running) = (state.wait_ms(now), state.load().runs);
+        let needs_new_connection = state.health.is_on_trial();
         let is_prefill = planned.step == Step::Prefill;
         active.calls += 1;
         let retries = active.arrivals.missing_retries(is_prefill);
@@ -289,6 +290,7 @@
             },
             address,
             head_timeout_ms: planned.head_timeout_ms,
+            needs_new_connection,
         }))
     }
 }
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -83,6 +83,9 @@
         };
         let head = daemon.protocol.call_head(&request, call);
         let client = daemon.client(next.address);
+        if next.needs_new_connection {
+            client.close_idle();
+        }
         let time_left_ms = call.time_left_ms;
         let deadline = daemon.clock.now() + time_left_ms;
         let is_head = request.method == http_types::Method::Head;
@@ -133,11 +136,8 @@
         ClientError::NotSent { detail } => return CallOutcome::NotSent { detail },
         ClientError::Interrupted { detail } => detail,
     };
-    let connection = if error.is_reused_connection {
-        "reused"
-    } else {
-        "new"
-    };
+    let is_new_connection = !error.is_reused_connection;
+    let connection = if is_new_connection { "new" } else { "reused" };
     let detail = format!("{detail}, on a {connection} connection");
     if is_started {
         CallOutcome::Broken {
@@ -146,7 +146,10 @@
             detail,
         }
     } else {
-        CallOutcome::AnswerLost { detail }
+        CallOutcome::AnswerLost {
+            detail,
+            is_new_connection,
+        }
     }
 }
 
@@ -180,16 +183,14 @@
         let is_success = (200..300).contains(&status);
         let is_retryable_status = matches!(status, 408 | 421 | 429 | 503);
         if is_retryable_status || (is_success && !info.is_signed) {
-            return CallOutcome::AnswerLost {
-                detail: format!("status {status} does not tell whether the request ran"),
-            };
+            let detail = format!("status {status} does not tell whether the request ran");
+            return CallOutcome::unusable(detail);
         }
         let left = deadline.saturating_duration_since(self.daemon.clock.now());
         let is_stream = is_success && is_event_stream(&response);
         if exchange.is_started() && !is_stream {
-            return CallOutcome::AnswerLost {
-                detail: format!("status {status} instead of the rest of the stream"),
-            };
+            let detail = format!("status {status} instead of the rest of the stream");
+            return CallOutcome::unusable(detail);
         }
         if is_stream {
             relay::stream(self, response, exchange, left).await
@@ -206,14 +207,12 @@
         let status = u16::from(response.status);
         match exchange.or_hang_up(response.into_buffered()).await {
             Err(_) => CallOutcome::Abandoned,
-            Ok(Err(error)) => CallOutcome::AnswerLost {
-                detail: error.to_string(),
-            },
+            Ok(Err(error)) => CallOutcome::unusable(error.to_string()),
             Ok(Ok(complete)) => match self.daemon.protocol.prefill_result(&complete.body) {
                 Some(result) if status == 200 => CallOutcome::Prefilled(result),
-                _ => CallOutcome::AnswerLost {
-                    detail: format!("status {status} without a valid prefill result"),
-                },
+                _ => {
+                    CallOutcome::unusable(format!("status {status} without a valid prefill result"))
+                }
             },
         }
     }
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -1,8 +1,8 @@
 //! Datagrams between gateway processes that report the load each one puts on the targets.
 //!
-//! A message holds the sender's whole load, so that the next message makes up for a lost one, and
-//! the prefills since the last message. It is sent soon after a change, and at a fixed interval
-//! otherwise.
+//! A message holds the sender's whole load, so that the next message makes up for a lost one, the
+//! prefills since the last message, and the targets that have not taken calls since then. It is
+//! sent soon after a change, and at a fixed interval otherwise.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,11 +37,13 @@
 /// Maximum size of a message; fits into one packet at the usual MTU.
 const MESSAGE_LIMIT_BYTES: usize = 1_400;
 /// Maximum number of targets in one message; those with the most queued prefill time go first.
-const LOADS_LIMIT: usize = 60;
+const LOADS_LIMIT: usize = 54;
 /// Maximum number of prefills in one message.
 const PREFILLS_LIMIT: usize = 12;
+/// Maximum number of unreachable targets in one message.
+const UNREACHABLE_LIMIT: usize = 8;
 /// Format version of messages; messages of other versions are ignored.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
@@ -53,6 +55,14 @@
     loads: Vec<TargetLoad>,
     #[serde(rename = "readings")]
     prefills: Vec<Prefill>,
+    unreachable: Vec<TargetKey>,
+}
+
+/// What happened at the targets since the last message.
+#[derive(Debug, Default)]
+struct Changes {
+    prefills: Vec<Prefill>,
+    unreachable: Vec<TargetKey>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -132,6 +142,9 @@
         core.fleet
             .record_peer_prefill(prefill.key, &prefill.hashes, prefill.tokens);
     }
+    for key in message.unreachable {
+        core.peer_reports_unreachable(now, key);
+    }
 }
 
 impl Daemon {
@@ -157,9 +170,13 @@
         let peers = daemon.peers.borrow().len();
         Timer::after(send_interval_ms(peers)).await;
         let loads = own_loads(&daemon);
-        let prefill_reports = daemon.core.borrow_mut().take_prefill_reports();
+        let (prefill_reports, unreachable) = {
+            let mut core = daemon.core.borrow_mut();
+            (core.take_prefill_reports(), core.take_unreachable_reports())
+        };
         let known_version = daemon.deployment.known_version();
         let is_unchanged = prefill_reports.is_empty()
+            && unreachable.is_empty()
             && loads == last_loads
             && known_version == last_known_version;
         let now = daemon.clock.now();
@@ -167,8 +184,8 @@
             continue;
         }
         sent = now;
-        for prefills in split_reports(prefill_reports) {
-            broadcast(&daemon, &socket, loads.clone(), prefills).await;
+        for changes in split_reports(prefill_reports, &unreachable) {
+            broadcast(&daemon, &socket, loads.clone(), changes).await;
         }
         last_loads = loads;
         last_known_version = known_version;
@@ -180,25 +197,24 @@
     MIN_SEND_INTERVAL_MS.max(SEND_INTERVAL_PER_PEER_MS.saturating_mul(peers))
 }
 
-fn split_reports(prefill_reports: Vec<PrefillReport>) -> Vec<Vec<Prefill>> {
-    let prefills = prefill_reports.into_iter().map(|report| Prefill {
+/// Distributes the reports over as many messages as they need; at least one.
+fn split_reports(prefill_reports: Vec<PrefillReport>, unreachable: &[TargetKey]) -> Vec<Changes> {
+    let count = prefill_reports
+        .len()
+        .div_ceil(PREFILLS_LIMIT)
+        .max(unreachable.len().div_ceil(UNREACHABLE_LIMIT))
+        .max(1);
+    let mut prefills = prefill_reports.into_iter().map(|report| Prefill {
         key: report.key,
         tokens: report.tokens,
         hashes: report.hashes.into_vec(),
     });
-    let mut chunks = vec![Vec::new()];
-    for prefill in prefills {
-        if chunks
-            .last()
-            .is_none_or(|last| last.len() == PREFILLS_LIMIT)
-        {
-            chunks.push(Vec::new());
-        }
-        if let Some(last) = chunks.last_mut() {
-            last.push(prefill);
-        }
-    }
-    chunks
+    let mut unreachable = unreachable.chunks(UNREACHABLE_LIMIT);
+    let messages = (0..count).map(|_| Changes {
+        prefills: prefills.by_ref().take(PREFILLS_LIMIT).collect(),
+        unreachable: unreachable.next().unwrap_or_default().to_vec(),
+    });
+    messages.collect()
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // loads are small and positive
@@ -218,7 +234,7 @@
     daemon: &Rc<Daemon>,
     socket: &UdpSocket,
     loads: Vec<TargetLoad>,
-    prefills: Vec<Prefill>,
+    changes: Changes,
 ) {
     let message = Message {
         format: FORMAT,
@@ -226,7 +242,8 @@
         incarnation: daemon.core.borrow().incarnation(),
         known: daemon.deployment.known_version(),
         loads,
-        prefills,
+        prefills: changes.prefills,
+        unreachable: changes.unreachable,
     };
     let bytes = match postcard::to_stdvec(&message) {
         Ok(bytes) if bytes.len() <= MESSAGE_LIMIT_BYTES => bytes,
--- a/components/gateway/src/daemon/relay.rs
+++ b/components/gateway/src/daemon/relay.rs
@@ -23,19 +23,17 @@
     let status = u16::from(response.status);
     let daemon = context.daemon;
     let head = daemon.protocol.answer_head(status, &response.headers);
-    let lost = |detail: String| CallOutcome::AnswerLost { detail };
     let body = match exchange
         .or_hang_up(with_timeout(left, response.into_buffered()))
         .await
     {
         Err(HungUp) => return CallOutcome::Abandoned,
         Ok(None) => {
-            return lost(
-                "the response was interrupted: its body did not arrive before the deadline"
-                    .to_owned(),
+            return CallOutcome::unusable(
+                "the response was interrupted: its body did not arrive before the deadline",
             );
         }
-        Ok(Some(Err(error))) => return lost(error.to_string()),
+        Ok(Some(Err(error))) => return CallOutcome::unusable(error.to_string()),
         Ok(Some(Ok(complete))) => complete.body,
     };
     let now = daemon.clock.now();
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -2,20 +2,21 @@
 //!
 //! It is built from the platform's updates, the outcomes of this process's calls and the reports of
 //! peers. Several processes place work on the same targets at once, so the load of peers is added
-//! to this process's own. Targets that fail or stop answering are ejected. A store can lose entries
-//! during an outage, so entries that are missing afterwards are kept for a grace period.
+//! to this process's own. Targets that fail or do not take calls get no work for a while (see
+//! [`crate::health`]). A store can lose entries during an outage, so entries that are missing
+//! afterwards are kept for a grace period.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
-use routing::Ejection;
 use types::HostName;
 use types::ServiceName;
 use types::TargetName;
 
 use crate::deployment::TargetEntry;
+use crate::health::TargetHealth;
 use crate::prefixes::InstanceId;
 use crate::prefixes::PrefixHash;
 use crate::prefixes::PrefixIndex;
@@ -28,13 +29,6 @@
 pub const PEER_TIMEOUT_MS: Duration = Duration::from_millis(1_500);
 /// Number of processes that poll the platform often; several, so that single ones may fail.
 const POLLING_PROCESSES: usize = 3;
-/// Time for which a target gets no work after a failed connection attempt.
-const UNREACHABLE_BACKOFF_MS: Duration = Duration::from_secs(1);
-/// Durations of the first and of the longest ejection. Crashed engines restart within about five
-/// seconds.
-const EJECTION_MS: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(6));
-/// Weight of a new outcome in the moving average of the failure rate.
-const FAILURE_WEIGHT: f64 = 0.1;
 
 /// Id of one run of a target, derived from its entry and so the same in all processes.
 pub type TargetKey = u64;
@@ -76,11 +70,9 @@
     prefill_speed: PrefillSpeed,
     /// Expected end of all known prefills; `None` before the first.
     prefills_done_at: Option<Instant>,
-    /// Moving average of the failure rate, from 0 to 1.
-    pub failure_rate: f64,
+    /// Health, as this process and its peers see it.
+    pub health: TargetHealth,
     missing_since: Option<Instant>,
-    unreachable_until: Option<Instant>,
-    ejection: Ejection,
 }
 
 impl TargetState {
@@ -119,13 +111,6 @@
         let rest_ms = self.load().prefill_ms * self.slowdown();
         self.prefills_done_at = Some(now + millis((rest_ms - FIRST_EVENT_MS).max(0.0)));
     }
-
-    /// Whether the target is neither ejected nor unreachable.
-    #[must_use]
-    pub fn is_healthy(&self, now: Instant) -> bool {
-        self.ejection.until(now).is_none()
-            && self.unreachable_until.is_none_or(|until| until <= now)
-    }
 }
 
 /// State of the connection to the store, with the time at which an outage ended.
@@ -166,6 +151,10 @@
     Gone,
     /// Gets no new work for a limited time after failures.
     Ejected,
+    /// Gets no new work for a short time because it does not take calls.
+    Unreachable,
+    /// The same, as a peer reports it.
+    Reported,
 }
 
 /// All targets and the peers that report load on them.
@@ -212,7 +201,7 @@
             .values()
             .filter(|state| state.entry.service == *service && !state.entry.is_draining);
         let (mut usable, unhealthy): (Vec<_>, Vec<_>) =
-            candidates.partition(|state| state.is_healthy(now));
+            candidates.partition(|state| state.health.is_healthy(now));
         let roles: Vec<_> = usable.iter().map(|state| state.entry.role).collect();
         // An engine of one role cannot replace one of another.
         let last_resort = unhealthy
@@ -258,10 +247,8 @@
             peer_load: Load::default(),
             prefill_speed: PrefillSpeed::default(),
             prefills_done_at: None,
-            failure_rate: 0.0,
+            health: TargetHealth::default(),
             missing_since: None,
-            unreachable_until: None,
-            ejection: Ejection::default(),
             entry,
         };
         self.targets.insert(state.entry.name.clone(), state);
@@ -392,29 +379,48 @@
     /// Records a successful call.
     pub fn record_success(&mut self, name: &str) {
         if let Some(state) = self.targets.get_mut(name) {
-            state.ejection.record_success();
-            state.unreachable_until = None;
-            state.failure_rate *= 1.0 - FAILURE_WEIGHT;
+            state.health.record_success();
         }
     }
 
     /// Records a call that failed through the target's fault. Returns what changed.
     pub fn record_failure(&mut self, now: Instant, name: &str) -> Option<TargetChange> {
         let state = self.targets.get_mut(name)?;
-        state.failure_rate += FAILURE_WEIGHT * (1.0 - state.failure_rate);
-        if state.ejection.record_failure() {
-            let (first, longest) = EJECTION_MS;
-            state.ejection.eject_within(now, first, longest);
-            return Some(TargetChange::Ejected);
-        }
-        None
+        let is_ejected = state.health.record_failure(now);
+        is_ejected.then_some(TargetChange::Ejected)
     }
 
-    /// Records that no connection to the target could be opened.
-    pub fn record_unreachable(&mut self, now: Instant, name: &str) {
-        if let Some(state) = self.targets.get_mut(name) {
-            state.unreachable_until = Some(now + UNREACHABLE_BACKOFF_MS);
-        }
+    /// Records an answer that was lost on a connection opened for the call. Returns whether that
+    /// has happened several times in a row.
+    pub fn record_lost_connection(&mut self, name: &str) -> bool {
+        let state = self.targets.get_mut(name);
+        state.is_some_and(|state| state.health.record_lost_connection())
+    }
+
+    /// Records that a target does not take calls; `draw` is a random number from 0 to 1. Returns
+    /// what changed.
+    pub fn record_unreachable(
+        &mut self,
+        now: Instant,
+        name: &str,
+        draw: f64,
+    ) -> Option<TargetChange> {
+        let state = self.targets.get_mut(name)?;
+        let was_in_use = state.health.set_unreachable(now, draw);
+        was_in_use.then_some(TargetChange::Unreachable)
+    }
+
+    /// Records a peer's report that a target does not take calls; `draw` as above. Returns the
+    /// target and what changed.
+    pub fn record_report(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        draw: f64,
+    ) -> Option<(TargetName, TargetChange)> {
+        let state = self.target_by_key(key)?;
+        let was_in_use = state.health.set_unreachable(now, draw);
+        was_in_use.then(|| (state.entry.name.clone(), TargetChange::Reported))
     }
 
     /// Replaces the load that a peer reported before.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,9 +1,9 @@
 //! Gateway: a reverse proxy that routes callers' requests directly to targets.
 //!
 //! [`core`] holds the state of each request and decides with [`routes`], [`admission`] and
-//! [`placement`]. State that outlives a request is in [`fleet`], [`prefixes`] and [`retries`]. The
-//! daemon in [`daemon`] does all I/O on one thread. The protocols of the platform and of the
-//! targets are behind the traits in [`deployment`] and [`protocol`].
+//! [`placement`]. State that outlives a request is in [`fleet`], [`health`], [`prefixes`] and
+//! [`retries`]. The daemon in [`daemon`] does all I/O on one thread. The protocols of the platform
+//! and of the targets are behind the traits in [`deployment`] and [`protocol`].
 
 pub mod admission;
 pub mod core;
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod events;
 pub mod fleet;
+pub mod health;
 pub mod log;
 pub mod log_event;
 pub mod placement;
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -120,7 +120,7 @@
     let first_event_ms = wait_ms + own_ms + transfer_ms + speed::FIRST_EVENT_MS;
     let score_ms = first_event_ms
         + WORK_WEIGHT * own_ms
-        + FAILURE_PENALTY_MS * state.failure_rate
+        + FAILURE_PENALTY_MS * state.health.failure_rate()
         + TIE_BREAK_MS * tie_break(state, request);
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
     let placement = Placement {
@@ -193,8 +193,10 @@
         } else {
             0.0
         };
-        let score_ms =
-            transfer_ms + start_ms + FAILURE_PENALTY_MS * state.failure_rate + full_penalty_ms;
+        let score_ms = transfer_ms
+            + start_ms
+            + FAILURE_PENALTY_MS * state.health.failure_rate()
+            + full_penalty_ms;
         (score_ms, state)
     });
     let best = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -218,7 +220,7 @@
         let wait_ms = state.load().runs / slots * PLAIN_RUN_MS;
         let is_remote = state.entry.data_centre != *own_data_centre;
         let distance_ms = if is_remote { REMOTE_CALL_MS } else { 0.0 };
-        let score_ms = wait_ms + distance_ms + FAILURE_PENALTY_MS * state.failure_rate;
+        let score_ms = wait_ms + distance_ms + FAILURE_PENALTY_MS * state.health.failure_rate();
         // Equal scores are resolved in round-robin order from a random start.
         let turn = (at as u64).wrapping_add(draw) % (candidates.len() as u64);
         (score_ms, turn, state)
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -92,6 +92,7 @@
 fn answer_lost() -> CallOutcome {
     CallOutcome::AnswerLost {
         detail: "reset".to_owned(),
+        is_new_connection: true,
     }
 }
 
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Closes the connections without a request in progress.
+    pub fn close_idle(&self) {
+        self.pool.borrow_mut().clear();
+    }
+
     async fn connect(&self) -> Result<Connection, ClientError> {
         loop {
             let Some(mut idle) = self.pool.borrow_mut().pop() else {
@@ -194,24 +199,28 @@
         };
         let mut connection = self.connect().await.map_err(not_connected)?;
         let is_reused_connection = connection.is_reused;
-        let failed = |(cause, _)| ForwardError {
-            cause,
-            is_reused_connection,
-        };
         connection.watchdog.set(self.limits.head_ms);
         let bytes = [head, body].concat();
-        let mut input = Vec::new();
-        let has_sent_request = write_until_response(&mut connection, &bytes, &mut input)
-            .await
-            .map_err(failed)?;
-        let expected = Expected {
-            is_head_only,
-            has_sent_request,
-            is_match: &is_match,
+        let response = async {
+            let mut input = Vec::new();
+            let has_sent_request =
+                write_until_response(&mut connection, &bytes, &mut input).await?;
+            let expected = Expected {
+                is_head_only,
+                has_sent_request,
+                is_match: &is_match,
+            };
+            response::read_head(connection, input, self.limits, self.pool.clone(), expected).await
         };
-        response::read_head(connection, input, self.limits, self.pool.clone(), expected)
-            .await
-            .map_err(failed)
+        let response = response.await;
+        if response.is_err() && is_reused_connection {
+            // The server has probably dropped the other idle connections too.
+            self.close_idle();
+        }
+        response.map_err(|(cause, _)| ForwardError {
+            cause,
+            is_reused_connection,
+        })
     }
 
     /// The error comes with a flag: the connection failed before the first byte of the response.
--- a/components/http/tests/client.rs
+++ b/components/http/tests/client.rs
@@ -7,12 +7,16 @@
 use common::with_server;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::or;
+use futures_lite::future::zip;
 use http::Client;
 use http::ClientError;
 use http::ClientLimits;
+use http::ForwardError;
 use http::ServerLimits;
 use http_types::Method;
 use smol::net::TcpListener;
+use smol::net::TcpStream;
 
 fn limits() -> ClientLimits {
     ClientLimits {
@@ -125,3 +129,62 @@
         (result, server.await)
     })
 }
+
+// A crashed server resets each of its idle connections when the next request arrives there.
+#[test]
+fn no_idle_connection_is_used_after_one_was_reset() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = Client::new(listener.local_addr().unwrap(), limits());
+        let (both, (first, second)) = zip(
+            async { (accept(&listener).await, accept(&listener).await) },
+            zip(forward(&client), forward(&client)),
+        )
+        .await;
+        first.and(second).unwrap();
+        let (mut first, mut second) = both;
+
+        // The connection that is not used stays open, so that only the client can discard it.
+        let reset = async {
+            let is_first = or(
+                async { read_request(&mut first).await.then_some(true) },
+                async { read_request(&mut second).await.then_some(false) },
+            );
+            if is_first.await.unwrap() {
+                second
+            } else {
+                first
+            }
+        };
+        let (_open, lost) = zip(reset, forward(&client)).await;
+        assert!(lost.unwrap_err().is_reused_connection);
+
+        // A call on the other connection ends without an answer, and no connection is accepted.
+        let accept_or_end = or(async { drop(accept(&listener).await) }, async {
+            smol::Timer::after(limits().head_ms * 2).await;
+        });
+        let (answered, ()) = zip(forward(&client), accept_or_end).await;
+        answered.unwrap();
+    });
+}
+
+async fn forward(client: &Client) -> Result<(), ForwardError> {
+    let head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    let response = client.forward(head, &[], false, |_| true).await?;
+    response.into_buffered().await.unwrap();
+    Ok(())
+}
+
+/// Accepts a connection and answers its first request.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(read_request(&mut stream).await);
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(answer).await.unwrap();
+    stream
+}
+
+/// Whether a request arrived before the connection was closed.
+async fn read_request(stream: &mut TcpStream) -> bool {
+    stream.read(&mut [0; 1024]).await.unwrap() > 0
+}
