--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -39,6 +39,7 @@
 use crate::protocol::Transfer;
 use crate::retries::RetryAllowance;
 use crate::retries::RetryBudget;
+use crate::retries::SlackShare;
 use crate::routes;
 
 use self::active::ActiveRequest;
@@ -82,6 +83,7 @@
 #[derive(Debug)]
 pub struct Core {
     settings: CoreSettings,
+    started: Instant,
     incarnation: Incarnation,
     configuration: Option<Rc<Configuration>>,
     has_targets: bool,
@@ -100,9 +102,10 @@
 impl Core {
     /// Starts without a configuration; `incarnation` also seeds the random numbers.
     #[must_use]
-    pub fn new(settings: CoreSettings, incarnation: Incarnation) -> Self {
+    pub fn new(now: Instant, settings: CoreSettings, incarnation: Incarnation) -> Self {
         Self {
             settings,
+            started: now,
             incarnation,
             configuration: None,
             has_targets: false,
@@ -188,7 +191,10 @@
                     self.log_target_change(name, Some(change));
                 }
             }
-            DeploymentUpdate::Peers(_) => {}
+            DeploymentUpdate::Peers(peers) => {
+                let hosts = peers.into_iter().map(|peer| peer.host);
+                self.fleet.peers.list(now, hosts);
+            }
             DeploymentUpdate::RowIgnored { row, detail } => {
                 self.log_events.push(LogEvent::RowIgnored { row, detail });
             }
@@ -332,10 +338,20 @@
     }
 
     fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
-        let processes = (self.fleet.peer_count() + 1).max(self.settings.min_processes);
+        let share = SlackShare {
+            started: self.started,
+            processes: self.sharing_processes(now),
+        };
         let allowance = self.settings.retries;
         let budget = self.budgets.entry(service.clone()).or_default();
-        budget.left(now, &allowance, processes)
+        budget.left(now, &allowance, share)
+    }
+
+    /// Number of processes that the slack of the retry allowance is divided by.
+    #[must_use]
+    pub fn sharing_processes(&self, now: Instant) -> usize {
+        let processes = self.fleet.peers.sharing_count(now);
+        processes.max(self.settings.min_processes)
     }
 
     fn take_retries(&mut self, now: Instant, active: &mut ActiveRequest, retries: u32) {
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -146,7 +146,7 @@
         let is_polling_process = {
             let mut core = daemon.core.borrow_mut();
             core.tick(now);
-            core.fleet.is_polling_process(&daemon.settings.host)
+            core.fleet.peers.is_polling_process(&daemon.settings.host)
         };
         daemon.deployment.set_frequent_polling(is_polling_process);
         daemon.process_core_output();
@@ -177,12 +177,13 @@
             retries: settings.retries,
             min_processes: settings.min_processes,
         };
+        let clock = Rc::new(SystemClock);
         let incarnation = rand::rng().random::<u64>().max(1);
         Ok(Self {
-            core: RefCell::new(Core::new(core_settings, incarnation)),
+            core: RefCell::new(Core::new(clock.now(), core_settings, incarnation)),
             protocol,
             deployment,
-            clock: Rc::new(SystemClock),
+            clock,
             is_in_service: Cell::new(true),
             executor,
             clients: RefCell::default(),
--- a/components/gateway/src/daemon/monitoring.rs
+++ b/components/gateway/src/daemon/monitoring.rs
@@ -71,7 +71,8 @@
     }
 
     fn handle<'a>(&'a self, _: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a> {
-        let text = self.0.recorder.render(&self.0.core.borrow());
+        let now = self.0.clock.now();
+        let text = self.0.recorder.render(now, &self.0.core.borrow());
         Box::pin(async move {
             let mut head = Response::new(StatusCode::Ok);
             head.insert_header("content-type", "text/plain; version=0.0.4");
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -1,5 +1,7 @@
 //! Metrics in Prometheus text form.
 
+use std::time::Instant;
+
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -85,10 +87,11 @@
     }
 
     /// Renders all metrics as text.
-    pub(super) fn render(&self, core: &Core) -> String {
+    pub(super) fn render(&self, now: Instant, core: &Core) -> String {
         gauge!("chervilspool_requests_in_flight").set(count(core.in_flight()));
         gauge!("chervilspool_targets").set(count(core.fleet.targets().count()));
-        gauge!("chervilspool_peers").set(count(core.fleet.peer_count()));
+        gauge!("chervilspool_peers").set(count(core.fleet.peers.heard_count()));
+        gauge!("chervilspool_sharing_processes").set(count(core.sharing_processes(now)));
         let version = core.configuration().map_or(0, |current| current.version);
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53
         gauge!("chervilspool_configuration_version").set(version as f64);
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -7,7 +7,6 @@
 //! afterwards are kept for a grace period.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +16,8 @@
 
 use crate::deployment::TargetEntry;
 use crate::health::TargetHealth;
+use crate::peers::Peers;
+use crate::peers::ReportedLoads;
 use crate::prefixes::InstanceId;
 use crate::prefixes::PrefixHash;
 use crate::prefixes::PrefixIndex;
@@ -25,10 +26,6 @@
 
 /// Grace period after a store outage in which targets renew entries that expired during it.
 pub const STORE_RECOVERY_MS: Duration = Duration::from_secs(2);
-/// Time without a message after which a peer and its load are dropped.
-pub const PEER_TIMEOUT_MS: Duration = Duration::from_millis(1_500);
-/// Number of processes that poll the platform often; several, so that single ones may fail.
-const POLLING_PROCESSES: usize = 3;
 
 /// Id of one run of a target, derived from its entry and so the same in all processes.
 pub type TargetKey = u64;
@@ -130,12 +127,6 @@
     pub load: Load,
 }
 
-#[derive(Debug)]
-struct Peer {
-    last_seen: Instant,
-    loads: HashMap<TargetKey, Load>,
-}
-
 /// Change of a target's state, for the log and the metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetChange {
@@ -161,7 +152,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     targets: BTreeMap<TargetName, TargetState>,
-    peers: HashMap<HostName, Peer>,
+    /// The other gateway processes.
+    pub peers: Peers,
     /// Prefixes that the targets probably have cached.
     pub prefix_index: PrefixIndex,
     store: StoreState,
@@ -172,7 +164,7 @@
     fn default() -> Self {
         Self {
             targets: BTreeMap::new(),
-            peers: HashMap::new(),
+            peers: Peers::default(),
             prefix_index: PrefixIndex::default(),
             store: StoreState::Available,
             next_instance: 0,
@@ -303,14 +295,8 @@
         {
             self.store = StoreState::Available;
         }
-        let expired: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.saturating_duration_since(peer.last_seen) > PEER_TIMEOUT_MS)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for host in expired {
-            self.remove_peer(&host);
+        for loads in self.peers.expire(now) {
+            self.subtract_peer_loads(&loads);
         }
         if self.is_in_grace_period(now) {
             return Vec::new();
@@ -425,11 +411,11 @@
 
     /// Replaces the load that a peer reported before.
     pub fn replace_peer_load(&mut self, now: Instant, host: &HostName, loads: Vec<PeerLoad>) {
-        let loads: HashMap<_, _> = loads.into_iter().map(|r| (r.key, r.load)).collect();
-        let before = self.peers.remove(host);
+        let loads: ReportedLoads = loads.into_iter().map(|r| (r.key, r.load)).collect();
+        let before = self.peers.replace_loads(now, host, loads.clone());
         for state in self.targets.values_mut() {
             let before_ms = state.peer_load.prefill_ms;
-            if let Some(load) = before.as_ref().and_then(|b| b.loads.get(&state.key)) {
+            if let Some(load) = before.get(&state.key) {
                 state.peer_load.subtract(*load);
             }
             if let Some(load) = loads.get(&state.key) {
@@ -442,13 +428,6 @@
                 state.shorten_prefill_queue(now);
             }
         }
-        self.peers.insert(
-            host.clone(),
-            Peer {
-                last_seen: now,
-                loads,
-            },
-        );
     }
 
     /// Records a prefill that a peer started.
@@ -459,19 +438,6 @@
         }
     }
 
-    /// Number of peers that have not timed out.
-    #[must_use]
-    pub fn peer_count(&self) -> usize {
-        self.peers.len()
-    }
-
-    /// Whether the process on `host` polls the platform often: the first processes by host name do,
-    /// of those that have not timed out.
-    #[must_use]
-    pub fn is_polling_process(&self, host: &HostName) -> bool {
-        self.peers.keys().filter(|peer| *peer < host).count() < POLLING_PROCESSES
-    }
-
     /// Unfinished work of this process, by target.
     #[must_use]
     pub fn own_loads(&self) -> Vec<PeerLoad> {
@@ -501,12 +467,9 @@
         }
     }
 
-    fn remove_peer(&mut self, host: &HostName) {
-        let Some(peer) = self.peers.remove(host) else {
-            return;
-        };
+    fn subtract_peer_loads(&mut self, loads: &ReportedLoads) {
         for state in self.targets.values_mut() {
-            if let Some(load) = peer.loads.get(&state.key) {
+            if let Some(load) = loads.get(&state.key) {
                 state.peer_load.subtract(*load);
             }
         }
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -33,6 +33,27 @@
     }
 }
 
+/// Part of the slack that this process may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlackShare {
+    /// Start of this process.
+    pub started: Instant,
+    /// Processes that the slack is divided by.
+    pub processes: usize,
+}
+
+impl SlackShare {
+    /// Retries for this process. There are none in its first window, because an earlier process on
+    /// this host may have used them.
+    fn retries(&self, now: Instant, allowance: &RetryAllowance) -> f64 {
+        if now.saturating_duration_since(self.started) < allowance.counted_ms() {
+            return 0.0;
+        }
+        let processes = u32::try_from(self.processes.max(1)).unwrap_or(u32::MAX);
+        allowance.slack / f64::from(processes)
+    }
+}
+
 /// Requests and retries of one service that this process has counted.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -60,13 +81,12 @@
         slot.retries = slot.retries.saturating_sub(u64::from(retries));
     }
 
-    /// Retries left to this process if the allowance is divided by `processes`.
+    /// Retries left to this process.
     #[must_use]
-    pub fn left(&mut self, now: Instant, allowance: &RetryAllowance, processes: usize) -> u32 {
+    pub fn left(&mut self, now: Instant, allowance: &RetryAllowance, share: SlackShare) -> u32 {
         let Counts { requests, retries } = self.window.counts(now, allowance.counted_ms());
         let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
-        let processes = u32::try_from(processes.max(1)).unwrap_or(u32::MAX);
-        let own_slack = allowance.slack / f64::from(processes);
+        let own_slack = share.retries(now, allowance);
         let allowed = USED_FRACTION * (allowance.ratio * f64::from(count(requests)) + own_slack);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
         let allowed = allowed.floor() as u32;
