--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -163,7 +163,7 @@
         outcome: &CallOutcome,
     ) -> Option<Ending> {
         let is_run = call.as_ref().is_some_and(|call| !call.is_prefill);
-        active.arrivals.count(outcome);
+        self.count_arrival(now, active, outcome);
         let target = call.as_ref().map(|call| call.target.clone());
         let transfer = call.and_then(|call| call.transfer);
         if is_run
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -332,9 +332,10 @@
             return false;
         }
         let service = active.service.clone();
-        // The call is counted when its end is reported.
-        let missing = active.arrivals.missing_retries(false) + 1;
-        self.retries_left(now, &service) >= missing
+        // The call that gave this answer is counted when its end is reported.
+        let mut arrivals = active.arrivals;
+        arrivals.count_arrival();
+        self.retries_left(now, &service) >= arrivals.missing_retries(false)
     }
 
     fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
@@ -354,11 +355,18 @@
         processes.max(self.settings.min_processes)
     }
 
-    fn take_retries(&mut self, now: Instant, active: &mut ActiveRequest, retries: u32) {
-        active.arrivals.add_taken(retries);
-        let allowance = self.settings.retries;
+    fn reserve_retries(&mut self, active: &mut ActiveRequest, retries: u32) {
+        active.arrivals.add_reserved(retries);
         let budget = self.budgets.entry(active.service.clone()).or_default();
-        budget.take(now, &allowance, retries);
+        budget.reserve(retries);
+    }
+
+    fn count_arrival(&mut self, now: Instant, active: &mut ActiveRequest, outcome: &CallOutcome) {
+        if active.arrivals.count(outcome) {
+            let allowance = self.settings.retries;
+            let budget = self.budgets.entry(active.service.clone()).or_default();
+            budget.use_reserved(now, &allowance);
+        }
     }
 
     fn finish(
@@ -371,12 +379,8 @@
         if let Some(transfer) = active.transfer {
             self.unused_transfers.push(transfer);
         }
-        let unused_retries = active.arrivals.unused_retries();
-        if unused_retries > 0 {
-            let allowance = self.settings.retries;
-            let budget = self.budgets.entry(active.service.clone()).or_default();
-            budget.give_back(now, &allowance, unused_retries);
-        }
+        let budget = self.budgets.entry(active.service.clone()).or_default();
+        budget.release(active.arrivals.reserved_retries());
         let (label, detail, status) = describe(ending, outcome);
         self.log_events.push(LogEvent::RequestEnded {
             request: active.request.id.clone(),
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -238,7 +238,7 @@
         let is_prefill = planned.step == Step::Prefill;
         active.calls += 1;
         let retries = active.arrivals.missing_retries(is_prefill);
-        self.take_retries(now, active, retries);
+        self.reserve_retries(active, retries);
         self.fleet.add_load(now, &planned.target, planned.load);
         if active.engine.is_some() {
             self.fleet
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -110,7 +110,7 @@
         new_tokens: u64,
         /// Name of the service.
         service: ServiceName,
-        /// Retries taken from the budget of the service for the call.
+        /// Retries reserved in the budget of the service for the call.
         retries: u32,
     },
     /// A call ended without an answer to the caller.
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -58,6 +58,7 @@
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     window: Window,
+    reserved: u32,
 }
 
 impl RetryBudget {
@@ -68,17 +69,22 @@
             .requests += 1;
     }
 
-    /// Takes retries from the budget.
-    pub fn take(&mut self, now: Instant, allowance: &RetryAllowance, retries: u32) {
-        self.window
-            .current_slot(now, allowance.counted_ms())
-            .retries += u64::from(retries);
+    /// Reserves retries for calls that are to be made.
+    pub fn reserve(&mut self, retries: u32) {
+        self.reserved += retries;
+    }
+
+    /// Returns reserved retries that no call has used.
+    pub fn release(&mut self, retries: u32) {
+        self.reserved = self.reserved.saturating_sub(retries);
     }
 
-    /// Returns retries that were taken and not made. Those taken in an earlier slot stay counted.
-    pub fn give_back(&mut self, now: Instant, allowance: &RetryAllowance, retries: u32) {
-        let slot = self.window.current_slot(now, allowance.counted_ms());
-        slot.retries = slot.retries.saturating_sub(u64::from(retries));
+    /// Counts a call that has used a reserved retry.
+    pub fn use_reserved(&mut self, now: Instant, allowance: &RetryAllowance) {
+        self.release(1);
+        self.window
+            .current_slot(now, allowance.counted_ms())
+            .retries += 1;
     }
 
     /// Retries left to this process.
@@ -90,6 +96,6 @@
         let allowed = USED_FRACTION * (allowance.ratio * f64::from(count(requests)) + own_slack);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive and small
         let allowed = allowed.floor() as u32;
-        allowed.saturating_sub(count(retries))
+        allowed.saturating_sub(count(retries) + self.reserved)
     }
 }
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -224,3 +224,24 @@
         "{retries} retries for {requests} requests"
     );
 }
+
+#[test]
+fn retries_that_reached_no_target_are_available_to_other_requests() {
+    let mut now = Instant::now();
+    let mut core = core(now);
+    for _ in 0..20 {
+        // The target is used again after a failure to connect.
+        now += Duration::from_secs(3);
+        serve(&mut core, now, plain("/order/1"), |call, _| match call {
+            0 => CallOutcome::NotRun {
+                status: 503,
+                is_other_process: false,
+            },
+            _ => CallOutcome::NotSent {
+                detail: "timed out".to_owned(),
+            },
+        });
+    }
+    now += Duration::from_secs(3);
+    assert_eq!(retries_of_refused_calls(&mut core, now, 10), 10);
+}
