--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -226,10 +226,6 @@
         }
         Some(final_ending(active, is_started))
     }
-
-    fn may_retry(&mut self, now: Instant, active: &ActiveRequest) -> bool {
-        self.retries_left(now, &active.service) >= active.arrivals.missing_retries(false)
-    }
 }
 
 /// How a request ends that gets no further call.
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod conclude;
 mod decision;
 mod plan;
+mod retry;
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -27,7 +28,6 @@
 
 use crate::deployment::Configuration;
 use crate::deployment::DeploymentUpdate;
-use crate::deployment::RetryPolicy;
 use crate::fleet::Fleet;
 use crate::fleet::TargetChange;
 use crate::fleet::TargetKey;
@@ -39,7 +39,6 @@
 use crate::protocol::Transfer;
 use crate::retries::RetryAllowance;
 use crate::retries::RetryBudget;
-use crate::retries::SlackShare;
 use crate::routes;
 
 use self::active::ActiveRequest;
@@ -318,57 +317,6 @@
         }
     }
 
-    /// Whether to retry at another target instead of passing the target's 5xx answer on to the
-    /// caller.
-    pub fn should_retry(&mut self, now: Instant, number: RequestNumber) -> bool {
-        let Some(active) = self.requests.get(&number) else {
-            return false;
-        };
-        let has_retry_left = active.route.retry_policy == RetryPolicy::Idempotent
-            && active.runs + 1 < active.route.attempt_limit
-            && active.time_left(now) >= MIN_CALL_MS;
-        let targets = self.fleet.usable(&active.service, now).len();
-        if !has_retry_left || targets <= active.tried_targets.len() + 1 {
-            return false;
-        }
-        let service = active.service.clone();
-        // The call that gave this answer is counted when its end is reported.
-        let mut arrivals = active.arrivals;
-        arrivals.count_arrival();
-        self.retries_left(now, &service) >= arrivals.missing_retries(false)
-    }
-
-    fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
-        let share = SlackShare {
-            started: self.started,
-            processes: self.sharing_processes(now),
-        };
-        let allowance = self.settings.retries;
-        let budget = self.budgets.entry(service.clone()).or_default();
-        budget.left(now, &allowance, share)
-    }
-
-    /// Number of processes that the slack of the retry allowance is divided by.
-    #[must_use]
-    pub fn sharing_processes(&self, now: Instant) -> usize {
-        let processes = self.fleet.peers.sharing_count(now);
-        processes.max(self.settings.min_processes)
-    }
-
-    fn reserve_retries(&mut self, active: &mut ActiveRequest, retries: u32) {
-        active.arrivals.add_reserved(retries);
-        let budget = self.budgets.entry(active.service.clone()).or_default();
-        budget.reserve(retries);
-    }
-
-    fn count_arrival(&mut self, now: Instant, active: &mut ActiveRequest, outcome: &CallOutcome) {
-        if active.arrivals.count(outcome) {
-            let allowance = self.settings.retries;
-            let budget = self.budgets.entry(active.service.clone()).or_default();
-            budget.use_reserved(now, &allowance);
-        }
-    }
-
     fn finish(
         &mut self,
         now: Instant,
@@ -376,11 +324,10 @@
         ending: Ending,
         outcome: &CallOutcome,
     ) {
+        self.release_retries(&active);
         if let Some(transfer) = active.transfer {
             self.unused_transfers.push(transfer);
         }
-        let budget = self.budgets.entry(active.service.clone()).or_default();
-        budget.release(active.arrivals.reserved_retries());
         let (label, detail, status) = describe(ending, outcome);
         self.log_events.push(LogEvent::RequestEnded {
             request: active.request.id.clone(),
