--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -65,6 +65,9 @@
     ) {
         let took = now.saturating_duration_since(call.started);
         let target = &call.target;
+        if outcome.is_answered() {
+            self.fleet.record_answer(target);
+        }
         match outcome {
             CallOutcome::Prefilled(_) => self.fleet.record_success(target),
             CallOutcome::Answered { status } if *status < 500 => self.fleet.record_success(target),
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -119,6 +119,18 @@
         }
     }
 
+    /// Whether the called target gave an answer, with whatever status.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        match self {
+            Self::Prefilled(_) | Self::Failed { .. } | Self::Answered { .. } => true,
+            Self::NotRun {
+                is_other_process, ..
+            } => !is_other_process,
+            _ => false,
+        }
+    }
+
     /// Kind of outcome, for the metrics.
     #[must_use]
     pub fn label(&self) -> &'static str {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -362,6 +362,13 @@
         }
     }
 
+    /// Records that a target answered a call, with whatever status.
+    pub fn record_answer(&mut self, name: &str) {
+        if let Some(state) = self.targets.get_mut(name) {
+            state.health.record_answer();
+        }
+    }
+
     /// Records a successful call.
     pub fn record_success(&mut self, name: &str) {
         if let Some(state) = self.targets.get_mut(name) {
--- a/components/gateway/src/health.rs
+++ b/components/gateway/src/health.rs
@@ -42,18 +42,22 @@
         self.failure_rate
     }
 
-    /// Whether no call has succeeded since the target was unreachable. Its idle connections may
+    /// Whether the target has answered no call since it was unreachable. Its idle connections may
     /// lead to a process that is gone.
     #[must_use]
     pub fn is_on_trial(&self) -> bool {
         self.unreachable_until.is_some()
     }
 
+    /// Records that the target answered a call, with whatever status.
+    pub(crate) fn record_answer(&mut self) {
+        self.lost_connections = 0;
+        self.unreachable_until = None;
+    }
+
     /// Records a successful call.
     pub(crate) fn record_success(&mut self) {
         self.ejection.record_success();
-        self.lost_connections = 0;
-        self.unreachable_until = None;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
     }
 
