--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -26,6 +26,10 @@
 /// plain requests about ten milliseconds of work.
 const MIN_FAILURE_TIMEOUT_MS: Duration = Duration::from_millis(500);
 
+/// Maximum time after which a lost answer counts as a reset by the target. Later it may be a timeout
+/// of the connection, through the fault of this host; keepalive probes take 2.1 s.
+const MAX_RESET_MS: Duration = Duration::from_secs(1);
+
 impl Core {
     /// Records the end of a call and returns what to do next.
     pub fn call_ended(
@@ -111,8 +115,8 @@
         });
     }
 
-    /// Whether a call failed as it does at a target whose process is gone: on a connection that was
-    /// accepted, before an engine could have answered, or on several such connections in a row.
+    /// Whether a call failed as it does at a target whose process is gone: on a new connection
+    /// before an engine could have answered, or on several new connections in a row.
     fn has_stopped_serving(
         &mut self,
         active: &ActiveRequest,
@@ -120,17 +124,20 @@
         took: Duration,
         outcome: &CallOutcome,
     ) -> bool {
-        let is_new_connection = matches!(
-            outcome,
-            CallOutcome::AnswerLost {
-                is_new_connection: true,
-                ..
-            }
-        );
+        let CallOutcome::AnswerLost {
+            is_new_connection: true,
+            ..
+        } = outcome
+        else {
+            return false;
+        };
+        if took > MAX_RESET_MS {
+            return false;
+        }
+        let is_one_of_several = self.fleet.record_lost_connection(&call.target);
         let is_before_any_answer =
             active.engine.is_some() && took.as_secs_f64() * 1e3 < speed::FIRST_EVENT_MS;
-        is_new_connection
-            && (self.fleet.record_lost_connection(&call.target) || is_before_any_answer)
+        is_one_of_several || is_before_any_answer
     }
 
     /// Takes a target out of use, and tells the peers unless it was out of use already.
--- a/components/gateway/tests/health.rs
+++ b/components/gateway/tests/health.rs
@@ -225,6 +225,19 @@
     assert!(core.take_unreachable_reports().is_empty());
 }
 
+// A connection that times out may be cut off at this host.
+#[test]
+fn target_whose_connections_time_out_is_not_reported_to_peers() {
+    let now = Instant::now();
+    let mut core = core(now);
+    for _ in 0..8 {
+        let (number, decision) = core.start(now, plain("/order/1"));
+        call(decision);
+        core.call_ended(now + Duration::from_millis(2_100), number, lost(true));
+    }
+    assert!(core.take_unreachable_reports().is_empty());
+}
+
 #[test]
 fn target_whose_address_another_process_has_is_reported_to_peers() {
     let now = Instant::now();
