--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -231,7 +231,7 @@
         let is_over = !active.may_run_again()
             || active.time_left(now) < MIN_CALL_MS
             || (is_started && !can_resume);
-        if !is_over && self.may_retry(now, active) {
+        if !is_over && self.is_within_budget(now, active, false) {
             return None;
         }
         Some(final_ending(active, is_started))
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -129,13 +129,13 @@
         let Some(work) = &request.work else {
             return Err(no_target());
         };
-        let retries_left = self.retries_left(now, &active.service);
+        let may_transfer = self.is_within_budget(now, active, true);
         let targets = self.fleet.usable(&active.service, now);
         let placement_request = PlacementRequest {
             work,
             hashes: &active.hashes,
             tried_targets: &active.tried_targets,
-            may_transfer: retries_left >= active.arrivals.missing_retries(true),
+            may_transfer,
         };
         if let Some(transfer) = active.transfer.take() {
             let source = self.fleet.get(&transfer.source);
--- a/components/gateway/src/core/retry.rs
+++ b/components/gateway/src/core/retry.rs
@@ -33,13 +33,19 @@
         self.retries_left(now, &service) >= arrivals.missing_retries(false)
     }
 
-    /// Whether the budget allows a request another call.
-    pub(super) fn may_retry(&mut self, now: Instant, active: &ActiveRequest) -> bool {
-        self.retries_left(now, &active.service) >= active.arrivals.missing_retries(false)
+    /// Whether the budget allows a request another call, and a prefill also the run after it.
+    pub(super) fn is_within_budget(
+        &mut self,
+        now: Instant,
+        active: &ActiveRequest,
+        is_prefill: bool,
+    ) -> bool {
+        let missing = active.arrivals.missing_retries(is_prefill);
+        missing == 0 || self.retries_left(now, &active.service) >= missing
     }
 
     /// Retries that this process may still make at a service.
-    pub(super) fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
+    fn retries_left(&mut self, now: Instant, service: &ServiceName) -> u32 {
         let share = SlackShare {
             started: self.started,
             processes: self.sharing_processes(now),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`core`] holds the state of each request and decides with [`routes`], [`admission`] and
 //! [`placement`]. State that outlives a request is in [`fleet`], [`health`], [`peers`],
-//! [`prefixes`] and [`retries`]. The daemon in [`daemon`] does all I/O on one thread. The protocols of the platform
-//! and of the targets are behind the traits in [`deployment`] and [`protocol`].
+//! [`prefixes`] and [`retries`]. The daemon in [`daemon`] does all I/O on one thread. The protocols
+//! of the platform and of the targets are behind the traits in [`deployment`] and [`protocol`].
 
 pub mod admission;
 pub mod core;
