--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -42,9 +43,24 @@
     pub after: u32,
 }
 
+/// A request that reached an engine, whether it was run or not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// Request id.
+    pub id: String,
+    /// Stage of the engine.
+    pub stage: Stage,
+    /// Time of arrival.
+    pub at: Instant,
+}
+
 /// Runs and protocol violations recorded by all engines.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// Arrivals, except the first prefill that was accepted for each request.
+    pub arrivals: Vec<Arrival>,
+    /// Requests for which an engine has accepted a prefill.
+    prefilled: BTreeSet<String>,
     /// Runs by request id.
     pub runs: BTreeMap<String, Vec<Run>>,
     /// Descriptions of requests that violate the protocol.
@@ -54,6 +70,18 @@
     last_handle: u64,
 }
 
+impl Ledger {
+    /// Records that an engine accepted a prefill; the first one of a request is no arrival.
+    fn accept_prefill(&mut self, id: &str) {
+        if self.prefilled.insert(id.to_owned()) {
+            let arrival = self.arrivals.iter().rposition(|arrival| arrival.id == id);
+            if let Some(at) = arrival {
+                self.arrivals.remove(at);
+            }
+        }
+    }
+}
+
 /// How an engine handles requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum EngineMode {
@@ -140,6 +168,11 @@
         let id = header(request, "x-attempt-id")
             .unwrap_or_default()
             .to_owned();
+        self.ledger.borrow_mut().arrivals.push(Arrival {
+            id: id.clone(),
+            stage: self.stage,
+            at: Instant::now(),
+        });
         if header(request, "x-expected-instance") != Some(self.name.as_str()) {
             return self.reject(exchange, 421, &id).await;
         }
@@ -198,6 +231,7 @@
         }
         let handle = {
             let mut ledger = self.ledger.borrow_mut();
+            ledger.accept_prefill(id);
             ledger.last_handle += 1;
             let handle = format!("m{}", ledger.last_handle);
             let owner = (self.name.clone(), id.to_owned());
--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -52,6 +52,12 @@
 pub const MODEL_SERVICE: &str = "drafts";
 /// Service of the plain engines.
 pub const PLAIN_SERVICE: &str = "desk";
+/// Retries per request that services allow.
+pub const RETRY_RATIO: f64 = 0.2;
+/// Retries that services allow for any number of requests.
+pub const RETRY_SLACK: u32 = 58;
+/// Length of the sliding window in which services count retries.
+pub const RETRY_WINDOW_MS: Duration = Duration::from_secs(10);
 /// Longest wait for a gateway to become ready.
 const READY_TIMEOUT_MS: Duration = Duration::from_secs(10);
 /// Interval between readiness checks.
@@ -380,12 +386,13 @@
 fileDescriptors = 4100
 [bounds]
 graceS = 8
-retryBudgetRatio = 0.2
-budgetSlack = 58
-budgetWindowS = 10
+retryBudgetRatio = {RETRY_RATIO}
+budgetSlack = {RETRY_SLACK}
+budgetWindowS = {window_s}
 [platform]
 address = "{store}"
-"#
+"#,
+        window_s = RETRY_WINDOW_MS.as_secs()
     )
 }
 
--- a/examples/gateways/main.rs
+++ b/examples/gateways/main.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod faults;
+mod retries;
 mod verdict;
 
 use std::cell::Cell;
--- a/examples/gateways/verdict.rs
+++ b/examples/gateways/verdict.rs
@@ -8,6 +8,9 @@
 use serde_json::json;
 use testbed::GatewayTestbed;
 
+use crate::retries;
+use crate::retries::Service;
+
 /// Time after which a leaving engine receives no new work from an undisturbed gateway; required
 /// by the users.
 const NEW_WORK_LIMIT_MS: Duration = Duration::from_secs(2);
@@ -172,6 +175,14 @@
                 violations.push(format!("{id}: status 200, but no engine ran it"));
             }
         }
+        for service in [Service::Plain, Service::Model] {
+            let requests = self.requests.values();
+            let sent: Vec<_> = requests
+                .filter(|request| Service::of_prefix(request.prefix) == service)
+                .map(|request| request.sent)
+                .collect();
+            violations.extend(retries::violation(service, &ledger.arrivals, &sent));
+        }
         let recovered = self.requests.values().filter(|r| r.sent > recovered_at);
         let (answered, sent) = recovered.fold((0_u32, 0_u32), |(answered, sent), request| {
             let is_success = matches!(request.answer, Answer::Complete { status: 200, .. });
