--- a/components/entry/src/core/mod.rs
+++ b/components/entry/src/core/mod.rs
@@ -111,7 +111,7 @@
             service_configs: BTreeMap::new(),
             applied: None,
             router: PlanningRouter::new(options.routing.clone(), seed),
-            requests: Requests::new(incarnation, seed, peers.len() + 1),
+            requests: Requests::new(incarnation, seed),
             links: Links::new(options.links),
             next_monitor_update_at: now,
             shares: Shares::new(options.share_targets, options.address, &peers),
--- a/components/request/src/budget.rs
+++ b/components/request/src/budget.rs
@@ -11,33 +11,20 @@
 
 /// At most one retry is allowed per this many requests.
 const REQUESTS_PER_RETRY: u64 = 10;
-/// Retries that all entries together are allowed per window regardless of the number of requests.
-/// Callers that wait for an answer send nothing new, so a fault of all targets lowers the request
-/// rate just when each request needs a retry; with a minimum of 3, requests waited for the budget
-/// until their deadline.
+/// Retries allowed per window regardless of the number of requests. Callers that wait for an answer
+/// send nothing new, so a fault of all targets lowers the request rate just when each request needs
+/// a retry; with a minimum of 3, requests waited for the budget until their deadline.
 const MIN_RETRIES: u64 = 20;
 /// Length of the sliding window over which requests and retries are counted.
 const WINDOW_MS: Duration = Duration::from_secs(10);
 
 /// Retry budget of one service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RetryBudget {
-    min_retries: u64,
     window: Window,
 }
 
 impl RetryBudget {
-    /// An unused budget of one of `entries` entries, which share the minimum; each has at least
-    /// one retry.
-    #[must_use]
-    pub fn new(entries: usize) -> Self {
-        let entries = u64::try_from(entries.max(1)).unwrap_or(u64::MAX);
-        Self {
-            min_retries: (MIN_RETRIES / entries).max(1),
-            window: Window::default(),
-        }
-    }
-
     /// Counts a request that was admitted.
     pub fn count_request(&mut self, now: Instant) {
         self.window.current_slot(now, WINDOW_MS).requests += 1;
@@ -46,7 +33,7 @@
     /// Takes one retry from the budget; returns false if none is left.
     pub fn try_take(&mut self, now: Instant) -> bool {
         let Counts { requests, retries } = self.window.counts(now, WINDOW_MS);
-        let allowed = (requests / REQUESTS_PER_RETRY).max(self.min_retries);
+        let allowed = (requests / REQUESTS_PER_RETRY).max(MIN_RETRIES);
         if retries >= allowed {
             return false;
         }
--- a/components/request/src/dispatch.rs
+++ b/components/request/src/dispatch.rs
@@ -8,7 +8,6 @@
 use types::Incarnation;
 use types::RefusalReason;
 use types::RequestId;
-use types::ServiceName;
 use types::TargetName;
 use types::Usage;
 use wire::Dispatch;
@@ -16,7 +15,6 @@
 
 use crate::action::Action;
 use crate::action::AttemptEnd;
-use crate::budget::RetryBudget;
 use crate::finish::no_target_accepted;
 use crate::queue::Overdue;
 use crate::refusal::RETRY_MS;
@@ -301,27 +299,21 @@
         if self.remove_if_orphaned(cx, id) {
             return;
         }
-        let Some(run) = self.runs.get(&id) else {
+        let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        let service = run.requirements.service.clone();
-        if self.retry_budget(service).try_take(cx.now) {
+        let budget = self
+            .retry_budgets
+            .entry(run.requirements.service.clone())
+            .or_default();
+        if budget.try_take(cx.now) {
             self.enqueue(cx, id);
             return;
         }
-        if let Some(run) = self.runs.get_mut(&id) {
-            run.phase = Phase::Delayed;
-        }
+        run.phase = Phase::Delayed;
         self.set_timer(cx.now + BUDGET_POLL_MS, Timer::RetryBudget);
     }
 
-    pub(crate) fn retry_budget(&mut self, service: ServiceName) -> &mut RetryBudget {
-        let entries = self.entries;
-        self.retry_budgets
-            .entry(service)
-            .or_insert_with(|| RetryBudget::new(entries))
-    }
-
     /// Removes a run that has no callers left. Returns whether it did.
     fn remove_if_orphaned(&mut self, cx: &Context, id: RequestId) -> bool {
         let is_orphaned = self.runs.get(&id).is_some_and(|run| run.waiters.is_empty());
--- a/components/request/src/requests.rs
+++ b/components/request/src/requests.rs
@@ -90,8 +90,6 @@
     pub(crate) last_operation: u64,
     pub(crate) queues: BTreeMap<QueueKey, Queue>,
     pub(crate) retry_budgets: BTreeMap<ServiceName, RetryBudget>,
-    /// Entries of the deployment, this one included.
-    pub(crate) entries: usize,
     pub(crate) connections: BTreeMap<TargetName, Incarnation>,
     pub(crate) timers: BTreeSet<(Instant, Timer)>,
     /// Time of the `DispatchQueued` timer that is set.
@@ -105,10 +103,9 @@
 
 impl Requests {
     /// Starts without requests. `seed` determines tokens and generated keys, and must be different
-    /// for each start of a process. `entries` is the number of entries in the settings, this one
-    /// included.
+    /// for each start of a process.
     #[must_use]
-    pub fn new(entry: Incarnation, seed: u64, entries: usize) -> Self {
+    pub fn new(entry: Incarnation, seed: u64) -> Self {
         Self {
             runs_by_key: BTreeMap::new(),
             agent_queries: BTreeMap::new(),
@@ -128,7 +125,6 @@
             runs_by_attempt: BTreeMap::new(),
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
-            entries,
             connections: BTreeMap::new(),
             timers: BTreeSet::new(),
             dispatch_retry_at: None,
--- a/components/request/src/submit.rs
+++ b/components/request/src/submit.rs
@@ -157,7 +157,10 @@
             self.timers
                 .insert((waiter.deadline, Timer::Deadline(waiter.request)));
         }
-        self.retry_budget(service).count_request(cx.now);
+        self.retry_budgets
+            .entry(service)
+            .or_default()
+            .count_request(cx.now);
         let claim = run.claim.as_ref();
         let key = claim.filter(|claim| claim.has_key).map(|c| c.key.clone());
         self.runs.insert(id, run);
