--- a/components/gateway/tests/health.rs
+++ b/components/gateway/tests/health.rs
@@ -58,7 +58,7 @@
     calls
 }
 
-/// Ends the first call of a request of the plain service after `took`. Returns its target.
+/// Ends the first call of a request of the plain service after `RESET_MS`. Returns its target.
 fn call_plain(core: &mut Core, now: Instant, outcome: CallOutcome) -> String {
     let (number, decision) = core.start(now, plain("/order/1"));
     let target = call(decision).call.target;
