--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod arrivals;
 mod conclude;
 mod decision;
+mod limits;
 mod parts;
 mod plan;
 mod retry;
@@ -18,6 +19,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use ::limits::Rate;
 use quarantine::Quarantine;
 use rand::Rng;
 use rand::SeedableRng;
@@ -102,6 +104,7 @@
     quarantine: Quarantine,
     part_writes: Vec<PartWrite>,
     cancelled: Vec<RequestNumber>,
+    named_rates: HashMap<TargetKey, Rate>,
 }
 
 impl Core {
@@ -126,6 +129,7 @@
             quarantine: Quarantine::new(incarnation),
             part_writes: Vec::new(),
             cancelled: Vec::new(),
+            named_rates: HashMap::new(),
         }
     }
 
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -190,6 +190,10 @@
     ) -> CallOutcome {
         let status = u16::from(response.status);
         let info = self.daemon.protocol.answer_info(status, &response.headers);
+        if !info.is_other_process {
+            let mut core = self.daemon.core.borrow_mut();
+            core.record_named_rate(self.number, info.named_rate);
+        }
         if info.is_not_run || info.is_other_process {
             // The connection can be reused only after the whole answer was read.
             let rest = with_timeout(REFUSAL_TIMEOUT_MS, Box::pin(response.into_buffered()));
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -13,6 +13,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use limits::Rate;
 use rustix::fs::OFlags;
 use slog::Drain;
 use slog::Logger;
@@ -229,6 +230,9 @@
             "crashes" => change.crashes,
             "remaining_ms" => u64::try_from(change.remaining_ms.as_millis()).unwrap_or(u64::MAX),
             "is_own" => change.is_own),
+        LogEvent::LimitChange { target, rate } => info!(logger, "target limit changed";
+            "code" => "CS5110", "target" => truncated(target),
+            "requests_per_s" => rate.map(Rate::requests_per_s)),
         LogEvent::RequestRouted {
             request,
             route,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -1,5 +1,6 @@
 //! Events that are written to the log and counted in the metrics.
 
+use limits::Rate;
 use quarantine::PartChange;
 use smallvec::SmallVec;
 use types::ServiceName;
@@ -86,6 +87,13 @@
     },
     /// A part of prompts became suspect, quarantined or free again.
     PartChange(PartChange),
+    /// A target named a limit on its requests, changed it or ended it.
+    LimitChange {
+        /// Name of the target.
+        target: TargetName,
+        /// Limit; `None` if it has ended.
+        rate: Option<Rate>,
+    },
     /// A request was routed.
     RequestRouted {
         /// Request id.
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -8,6 +8,7 @@
 
 use http_types::Response;
 use http_types::headers::Headers;
+use limits::NamedRate;
 use smallvec::SmallVec;
 use types::TargetName;
 
@@ -109,7 +110,7 @@
 }
 
 /// Information decoded from the head of a target's answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AnswerInfo {
     /// The answer comes from a target and not from an intermediary.
     pub is_signed: bool,
@@ -117,6 +118,8 @@
     pub is_not_run: bool,
     /// Another process than the called target listens at the address.
     pub is_other_process: bool,
+    /// Limit on the requests a second that the target names.
+    pub named_rate: NamedRate,
 }
 
 /// Answer of an engine to a prefill.
