--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -54,11 +54,22 @@
     pub at: Instant,
 }
 
+/// A call of any kind that reached an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineCall {
+    /// Engine that got it.
+    pub engine: String,
+    /// Time of arrival.
+    pub at: Instant,
+}
+
 /// Runs and protocol violations recorded by all engines.
 #[derive(Debug, Default)]
 pub struct Ledger {
     /// Arrivals, except the first prefill that was accepted for each request.
     pub arrivals: Vec<Arrival>,
+    /// All calls, those that release a KV cache included.
+    pub calls: Vec<EngineCall>,
     /// Requests for which an engine has accepted a prefill.
     prefilled: BTreeSet<String>,
     /// Runs by request id.
@@ -75,6 +86,18 @@
 }
 
 impl Ledger {
+    /// Most calls that an engine got in a span of the given length that begins at `from` or later.
+    #[must_use]
+    pub fn most_calls_within(&self, engine: &str, from: Instant, span: Duration) -> usize {
+        let calls = self.calls.iter().filter(|call| call.engine == engine);
+        let times: Vec<Instant> = calls.map(|call| call.at).filter(|at| *at >= from).collect();
+        let counts = times.iter().enumerate().map(|(first, start)| {
+            let span = times[first..].iter().take_while(|at| **at < *start + span);
+            span.count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Records that an engine accepted a prefill; the first one of a request is no arrival.
     fn accept_prefill(&mut self, id: &str) {
         if self.prefilled.insert(id.to_owned()) {
@@ -127,6 +150,8 @@
     pub stage: Stage,
     /// How it handles requests; a test changes it at any time.
     pub mode: Cell<EngineMode>,
+    /// Limit on requests a second that it names in its answers.
+    pub requests_per_s: Cell<Option<f64>>,
     /// When a part of a prompt last crashed it.
     pub crashed_at: Cell<Option<Instant>>,
     /// Record shared by all engines of a test.
@@ -177,14 +202,22 @@
         let mut head = responses::head(status, "text/plain");
         head.insert_header("x-attempt-id", id);
         head.insert_header("x-response-signature", format!("{}.{id}", self.name));
+        self.name_limit(&mut head);
         head
     }
 
+    fn name_limit(&self, head: &mut Response) {
+        if let Some(requests_per_s) = self.requests_per_s.get() {
+            head.insert_header("server-limit", requests_per_s.to_string());
+        }
+    }
+
     async fn reject(&self, exchange: &mut Exchange, status: u16, id: &str) {
         let mut head = responses::head(status, "text/plain");
         head.insert_header("x-attempt-id", id);
         head.insert_header("x-instance-id", self.name.as_str());
         head.insert_header("x-not-executed", "1");
+        self.name_limit(&mut head);
         // Errors are ignored, as the client may have disconnected.
         let _ = exchange.respond(head, b"").await;
     }
@@ -267,6 +300,7 @@
         let body = json!({ "handle": handle, "tokens": 1, "version": 1 }).to_string();
         let mut head = responses::head(200, "application/json");
         head.insert_header("x-attempt-id", id);
+        self.name_limit(&mut head);
         let _ = exchange.respond(head, body.as_bytes()).await;
     }
 
@@ -326,6 +360,11 @@
 
     fn handle<'a>(&'a self, request: Request, exchange: &'a mut Exchange) -> HandlerFuture<'a> {
         Box::pin(async move {
+            let call = EngineCall {
+                engine: self.0.name.clone(),
+                at: Instant::now(),
+            };
+            self.0.ledger.borrow_mut().calls.push(call);
             if request.head.method() == http_types::Method::Delete {
                 let handle = request
                     .head
--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -152,6 +152,7 @@
             name: name.to_owned(),
             stage,
             mode: Cell::default(),
+            requests_per_s: Cell::default(),
             crashed_at: Cell::default(),
             ledger: self.ledger.clone(),
         });
@@ -242,6 +243,13 @@
         }
     }
 
+    /// Makes an engine name a limit in its answers, or none.
+    pub fn name_limit(&self, name: &str, requests_per_s: Option<f64>) {
+        for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
+            engine.requests_per_s.set(requests_per_s);
+        }
+    }
+
     /// Writes a configuration with the standard routes, and a safe route of the plain service for
     /// each of `prefixes`.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
