--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -57,6 +57,13 @@
 #[must_use]
 pub fn retry_after(estimate: &LatencyEstimate, draw: f64) -> Duration {
     let wait_ms = estimate.wait_ms.max(MIN_RETRY_AFTER_MS) + draw * RETRY_JITTER_MS;
-    let longest_ms = (estimate.left_ms * RETRY_AFTER_FRACTION).max(MIN_RETRY_AFTER_MS);
-    Duration::from_secs_f64(wait_ms.min(longest_ms) / 1e3)
+    let left = Duration::from_secs_f64(estimate.left_ms.max(0.0) / 1e3);
+    Duration::from_secs_f64(wait_ms / 1e3).min(longest_retry_after(left))
+}
+
+/// Longest `Retry-After` of a request with the given time left.
+#[must_use]
+pub fn longest_retry_after(left: Duration) -> Duration {
+    let shortest = Duration::from_secs_f64(MIN_RETRY_AFTER_MS / 1e3);
+    left.mul_f64(RETRY_AFTER_FRACTION).max(shortest)
 }
--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -63,6 +63,8 @@
     pub(super) shared_parts: SmallVec<[PartId; 4]>,
     /// Suspect parts that this request is a trial of.
     pub(super) trial: SmallVec<[PartId; 4]>,
+    /// Engine whose limit has room reserved for the run after the prefill.
+    pub(super) reserved_call: Option<TargetKey>,
     pub(super) received: Instant,
     pub(super) deadline: Instant,
     pub(super) tried_targets: SmallVec<[TargetName; 4]>,
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -14,6 +14,7 @@
 use crate::core::decision::CallOutcome;
 use crate::core::decision::Decision;
 use crate::core::decision::Ending;
+use crate::core::decision::RefusalCause;
 use crate::core::millis;
 use crate::core::plan;
 use crate::deployment::RetryPolicy;
@@ -261,6 +262,6 @@
     }
     Ending::Refuse {
         retry_after_ms: plan::NO_TARGET_RETRY_AFTER_MS,
-        detail: "every target that was called refused the request",
+        cause: RefusalCause::Rejected,
     }
 }
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -37,8 +37,8 @@
     Refuse {
         /// Value of the `Retry-After` field.
         retry_after_ms: Duration,
-        /// Human-readable cause, sent to the caller and logged.
-        detail: &'static str,
+        /// Why; sent to the caller and logged.
+        cause: RefusalCause,
     },
     /// Answer 404: no route matches.
     NoRoute,
@@ -55,6 +55,57 @@
     Done,
 }
 
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The configuration or the targets are not known yet.
+    NotReady,
+    /// No target of the service takes work.
+    NoTarget,
+    /// Every target that was called refused.
+    Rejected,
+    /// The expected wait is too long.
+    Busy,
+    /// The limits that the targets name leave no room.
+    Limited,
+    /// A part of the prompt crashes engines.
+    Quarantined,
+    /// A part of the prompt may crash engines.
+    Suspect,
+}
+
+impl RefusalCause {
+    /// Name for the metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NotReady => "not-ready",
+            Self::NoTarget => "no-target",
+            Self::Rejected => "rejected",
+            Self::Busy => "busy",
+            Self::Limited => "limited",
+            Self::Quarantined => "quarantined",
+            Self::Suspect => "suspect",
+        }
+    }
+}
+
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotReady => "no configuration has been read from the store yet",
+            Self::NoTarget => "no target of the service takes work",
+            Self::Rejected => "every target that was called refused the request",
+            Self::Busy => "all engines are too busy to answer in time",
+            Self::Limited => "the limits that the targets name leave no room now",
+            Self::Quarantined => {
+                "a part of the prompt is quarantined, because engines crashed on it"
+            }
+            Self::Suspect => "a part of the prompt may crash engines, and another request tests it",
+        })
+    }
+}
+
 /// Outcome of one call to a target.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallOutcome {
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use ::limits::Rate;
+use ::limits::Returns;
 use quarantine::Quarantine;
 use rand::Rng;
 use rand::SeedableRng;
@@ -51,6 +51,7 @@
 pub use self::decision::Decision;
 pub use self::decision::Ending;
 pub use self::decision::NextCall;
+pub use self::decision::RefusalCause;
 pub use self::parts::PartWrite;
 
 /// Sequence number of a request within this process.
@@ -104,7 +105,7 @@
     quarantine: Quarantine,
     part_writes: Vec<PartWrite>,
     cancelled: Vec<RequestNumber>,
-    named_rates: HashMap<TargetKey, Rate>,
+    returns: HashMap<ServiceName, Returns>,
 }
 
 impl Core {
@@ -117,7 +118,7 @@
             incarnation,
             configuration: None,
             has_targets: false,
-            fleet: Fleet::default(),
+            fleet: Fleet::new(now, incarnation),
             budgets: HashMap::new(),
             requests: HashMap::new(),
             next_number: 0,
@@ -129,7 +130,7 @@
             quarantine: Quarantine::new(incarnation),
             part_writes: Vec::new(),
             cancelled: Vec::new(),
-            named_rates: HashMap::new(),
+            returns: HashMap::new(),
         }
     }
 
@@ -163,8 +164,10 @@
     }
 
     /// Takes the KV caches that no call will use any more, to be released at their engines.
-    pub fn take_unused_transfers(&mut self) -> Vec<Transfer> {
-        std::mem::take(&mut self.unused_transfers)
+    pub fn take_unused_transfers(&mut self, now: Instant) -> Vec<Transfer> {
+        let mut transfers = std::mem::take(&mut self.unused_transfers);
+        transfers.retain(|transfer| self.use_room_for_release(now, transfer));
+        transfers
     }
 
     /// Takes the prefills that have not been reported to the peers yet.
@@ -234,6 +237,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.quarantine.tick(now);
         self.apply_part_changes(now);
+        self.tick_limits(now);
         for (name, change) in self.fleet.tick(now) {
             self.log_target_change(name, Some(change));
         }
@@ -274,7 +278,7 @@
         let Some(configuration) = self.configuration.clone().filter(|_| self.has_targets) else {
             let ending = Ending::Refuse {
                 retry_after_ms: NOT_READY_RETRY_AFTER_MS,
-                detail: "no configuration has been read from the store yet",
+                cause: RefusalCause::NotReady,
             };
             self.log_unrouted(&request, ending);
             return (number, Decision::End(ending));
@@ -302,6 +306,7 @@
                 .unwrap_or_default(),
             shared_parts: parts::shared(engine.and(work)),
             trial: SmallVec::new(),
+            reserved_call: None,
             engine: engine.filter(|_| work.is_some()),
             received: now,
             deadline: now + timeout,
@@ -371,6 +376,7 @@
             took_ms: millis(now.saturating_duration_since(active.received)),
             calls: active.calls,
             retry_after_ms: retry_after_ms(ending),
+            refusal: refusal(ending),
         });
     }
 
@@ -386,13 +392,14 @@
             took_ms: 0,
             calls: 0,
             retry_after_ms: retry_after_ms(ending),
+            refusal: refusal(ending),
         });
     }
 }
 
 fn describe(ending: Ending, outcome: &CallOutcome) -> (&'static str, String, u16) {
     match (ending, outcome) {
-        (Ending::Refuse { detail, .. }, _) => ("refused", detail.to_owned(), 503),
+        (Ending::Refuse { cause, .. }, _) => ("refused", cause.to_string(), 503),
         (Ending::NoRoute, _) => ("refused", "no route matches".to_owned(), 404),
         (Ending::Fail { status, detail }, _) => ("failed", detail.to_owned(), status),
         (Ending::Cut, outcome) => ("cut", outcome.to_string(), 0),
@@ -408,6 +415,13 @@
     }
 }
 
+fn refusal(ending: Ending) -> Option<RefusalCause> {
+    match ending {
+        Ending::Refuse { cause, .. } => Some(cause),
+        _ => None,
+    }
+}
+
 /// The `Host` value without its port.
 fn host_name(host: &str) -> &str {
     host.split(':').next().unwrap_or_default()
--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -17,6 +17,7 @@
 use crate::core::active::CurrentCall;
 use crate::core::decision::CallOutcome;
 use crate::core::decision::Ending;
+use crate::core::decision::RefusalCause;
 use crate::log_event::LogEvent;
 use crate::protocol::ModelWork;
 use crate::protocol::PartId;
@@ -117,10 +118,10 @@
                 is_quarantined,
             } => Err(Ending::Refuse {
                 retry_after_ms: retry_after_ms.max(MIN_RETRY_AFTER_MS),
-                detail: if is_quarantined {
-                    "a part of the prompt is quarantined, because engines crashed on it"
+                cause: if is_quarantined {
+                    RefusalCause::Quarantined
                 } else {
-                    "a part of the prompt may crash engines, and another request tests it"
+                    RefusalCause::Suspect
                 },
             }),
         }
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -20,6 +20,7 @@
 use crate::core::decision::Decision;
 use crate::core::decision::Ending;
 use crate::core::decision::NextCall;
+use crate::core::decision::RefusalCause;
 use crate::deployment::EngineSpec;
 use crate::deployment::RetryPolicy;
 use crate::fleet::Load;
@@ -99,6 +100,7 @@
     }
 
     fn plan_plain(&mut self, now: Instant, active: &ActiveRequest) -> Result<PlannedCall, Ending> {
+        self.record_demand(now, &active.service);
         let targets = self.fleet.usable(&active.service, now);
         let draw = self.random.next_u64();
         let target = placement::choose_plain_target(
@@ -108,7 +110,7 @@
             draw,
         );
         let Some(target) = target else {
-            return Err(no_target());
+            return Err(self.no_target(now, active));
         };
         let has_retry_left = active.route.retry_policy == RetryPolicy::Idempotent
             && active.runs + 1 < active.route.attempt_limit
@@ -130,10 +132,11 @@
     ) -> Result<PlannedCall, Ending> {
         let request = active.request.clone();
         let Some(work) = &request.work else {
-            return Err(no_target());
+            return Err(self.no_target(now, active));
         };
+        self.record_demand(now, &active.service);
         let may_transfer = self.is_within_budget(now, active, true);
-        let targets = self.fleet.usable(&active.service, now);
+        let mut targets = self.fleet.usable(&active.service, now);
         let placement_request = PlacementRequest {
             work,
             hashes: &active.hashes,
@@ -141,6 +144,10 @@
             may_transfer,
         };
         if let Some(transfer) = active.transfer.take() {
+            targets.extend(
+                self.fleet
+                    .reserved(&active.service, active.reserved_call, now),
+            );
             let source = self.fleet.get(&transfer.source);
             let source = source.map_or(&self.settings.data_centre, |s| &s.entry.data_centre);
             let prefix_index = &self.fleet.prefix_index;
@@ -154,7 +161,7 @@
             );
             let Some(target) = target else {
                 self.unused_transfers.push(transfer);
-                return Err(no_target());
+                return Err(self.no_target(now, active));
             };
             return Ok(PlannedCall::run(
                 target,
@@ -170,10 +177,13 @@
             now,
         );
         let Some(placement) = placement else {
-            return Err(no_target());
+            return Err(self.no_target(now, active));
         };
         self.admit(now, active, &placement)?;
         let is_prefill = placement.role == Role::Prefill;
+        if is_prefill {
+            self.reserve_run(now, active);
+        }
         let left = active.time_left(now);
         let head_timeout_ms = if is_prefill {
             let head_timeout_ms =
@@ -222,7 +232,7 @@
         let draw = self.random.random::<f64>();
         Err(Ending::Refuse {
             retry_after_ms: admission::retry_after(&estimate, draw),
-            detail: "all engines are too busy to answer in time",
+            cause: RefusalCause::Busy,
         })
     }
 
@@ -239,6 +249,7 @@
         let (waiting_ms, running) = (state.wait_ms(now), state.load().runs);
         let needs_new_connection = state.health.is_on_trial();
         let is_prefill = planned.step == Step::Prefill;
+        self.use_room(now, active, key, is_prefill);
         active.calls += 1;
         let retries = active.arrivals.missing_retries(is_prefill);
         self.reserve_retries(active, retries);
@@ -298,10 +309,10 @@
     }
 }
 
-fn no_target() -> Ending {
+pub(super) fn no_target() -> Ending {
     Ending::Refuse {
         retry_after_ms: NO_TARGET_RETRY_AFTER_MS,
-        detail: "no target of the service takes work",
+        cause: RefusalCause::NoTarget,
     }
 }
 
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -192,7 +192,10 @@
         let info = self.daemon.protocol.answer_info(status, &response.headers);
         if !info.is_other_process {
             let mut core = self.daemon.core.borrow_mut();
-            core.record_named_rate(self.number, info.named_rate);
+            let now = self.daemon.clock.now();
+            core.record_named_rate(now, self.number, info.named_rate, info.is_not_run);
+            drop(core);
+            self.daemon.process_core_output();
         }
         if info.is_not_run || info.is_other_process {
             // The connection can be reused only after the whole answer was read.
@@ -262,7 +265,7 @@
     let problem = match ending {
         Ending::Refuse {
             retry_after_ms,
-            detail,
+            cause,
         } => {
             let is_in_service = daemon.is_in_service.get();
             let after = if is_in_service {
@@ -270,7 +273,7 @@
             } else {
                 STOPPING_RETRY_AFTER_MS
             };
-            Problem::new(503, "overloaded", detail)
+            Problem::new(503, "overloaded", cause.to_string())
                 .run(RunState::NotRun)
                 .retry_after(after)
         }
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -238,7 +238,7 @@
             let mut core = self.core.borrow_mut();
             (
                 core.take_log_events(),
-                core.take_unused_transfers(),
+                core.take_unused_transfers(self.clock.now()),
                 core.take_part_writes(),
                 core.take_cancelled(),
             )
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -3,7 +3,7 @@
 //! A message holds the sender's whole load, so that the next message makes up for a lost one, the
 //! prefills since the last message, and the targets that have not taken calls since then. It is
 //! sent soon after a change, and at a fixed interval otherwise. Notices about prompt parts that
-//! crash engines are messages of their own.
+//! crash engines, and about limits on requests, are messages of their own.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,7 +47,7 @@
 /// Maximum number of unreachable targets in one message.
 const UNREACHABLE_LIMIT: usize = 8;
 /// Format version of messages; messages of other versions are ignored.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
@@ -61,6 +61,7 @@
 enum Content {
     Load(LoadMessage),
     Parts(Notice),
+    Limits(limits::Notice),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -146,6 +147,7 @@
     match message.content {
         Content::Load(load) => apply_load(daemon, &mut core, now, &message.host, load),
         Content::Parts(notice) => core.receive_part_notice(now, &message.host, notice),
+        Content::Limits(notice) => core.receive_limit_notice(now, message.incarnation, &notice),
     }
     drop(core);
     daemon.process_core_output();
@@ -203,6 +205,10 @@
         for notice in notices {
             broadcast(&daemon, &socket, Content::Parts(notice)).await;
         }
+        let notices = daemon.core.borrow_mut().take_limit_notices(now);
+        for notice in notices {
+            broadcast(&daemon, &socket, Content::Limits(notice)).await;
+        }
         let loads = own_loads(&daemon);
         let (prefill_reports, unreachable) = {
             let mut core = daemon.core.borrow_mut();
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -60,8 +60,14 @@
                 status,
                 first_ms,
                 took_ms,
+                refusal,
                 ..
             } => {
+                if let Some(cause) = refusal {
+                    counter!("chervilspool_refusals_total", "route" => route.clone(),
+                        "cause" => cause.label())
+                    .increment(1);
+                }
                 counter!("chervilspool_requests_total", "route" => route.clone(),
                     "outcome" => *outcome, "status" => status.to_string())
                 .increment(1);
@@ -80,6 +86,14 @@
                 let state = format!("{:?}", change.state).to_lowercase();
                 counter!("chervilspool_part_changes_total", "state" => state).increment(1);
             }
+            LogEvent::LimitChange { change, .. } => {
+                let state = match (change.before, change.rate) {
+                    (None, _) => "begun",
+                    (_, None) => "ended",
+                    _ => "changed",
+                };
+                counter!("chervilspool_limit_changes_total", "state" => state).increment(1);
+            }
             LogEvent::StoreUnavailable { .. } => {
                 counter!("chervilspool_store_outages_total").increment(1);
             }
@@ -102,6 +116,7 @@
         let (quarantined, suspect) = core.part_counts();
         gauge!("chervilspool_quarantined_parts").set(count(quarantined));
         gauge!("chervilspool_suspect_parts").set(count(suspect));
+        gauge!("chervilspool_limited_targets").set(count(core.fleet.limits.limited_count()));
         let version = core.configuration().map_or(0, |current| current.version);
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53
         gauge!("chervilspool_configuration_version").set(version as f64);
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use limits::Limits;
+use limits::Room;
 use types::HostName;
+use types::Incarnation;
 use types::ServiceName;
 use types::TargetName;
 
@@ -160,6 +163,8 @@
     pub peers: Peers,
     /// Prefixes that the targets probably have cached.
     pub prefix_index: PrefixIndex,
+    /// Limits that the targets name on their requests.
+    pub limits: Limits,
     store: StoreState,
     /// The store came back from an older copy, and its entries have not been read since.
     is_restored: bool,
@@ -168,9 +173,12 @@
     next_instance: InstanceId,
 }
 
-impl Default for Fleet {
-    fn default() -> Self {
+impl Fleet {
+    /// Knows no target yet. `incarnation` identifies this process to its peers.
+    #[must_use]
+    pub fn new(now: Instant, incarnation: Incarnation) -> Self {
         Self {
+            limits: Limits::new(now, incarnation),
             targets: BTreeMap::new(),
             peers: Peers::default(),
             prefix_index: PrefixIndex::default(),
@@ -180,9 +188,7 @@
             next_instance: 0,
         }
     }
-}
 
-impl Fleet {
     /// State of a target by its name.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&TargetState> {
@@ -194,10 +200,24 @@
         self.targets.values()
     }
 
-    /// Targets of a service that may get new work. Unhealthy ones are left out unless all of their
-    /// role are unhealthy.
+    /// Targets of a service that may get a call now: healthy ones whose limit leaves room.
     #[must_use]
     pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&TargetState> {
+        let mut usable = self.healthy(service, now);
+        usable.retain(|state| self.has_room(now, state.key));
+        usable
+    }
+
+    /// Whether the limit of a target, if it names one, leaves room for a call now.
+    #[must_use]
+    pub fn has_room(&self, now: Instant, key: TargetKey) -> bool {
+        matches!(self.limits.room(now, key), Room::Unlimited | Room::Now)
+    }
+
+    /// Targets of a service that take new work. Unhealthy ones are left out unless all of their
+    /// role are unhealthy.
+    #[must_use]
+    pub fn healthy(&self, service: &ServiceName, now: Instant) -> Vec<&TargetState> {
         let candidates = self
             .targets
             .values()
@@ -522,6 +542,34 @@
         }
     }
 
+    /// Name of the target with a key.
+    #[must_use]
+    pub fn name_of(&self, key: TargetKey) -> Option<TargetName> {
+        let mut targets = self.targets.values();
+        let state = targets.find(|state| state.key == key)?;
+        Some(state.entry.name.clone())
+    }
+
+    /// The target with room reserved for a call, unless it has room or takes no work.
+    #[must_use]
+    pub fn reserved(
+        &self,
+        service: &ServiceName,
+        reserved: Option<TargetKey>,
+        now: Instant,
+    ) -> Option<&TargetState> {
+        let key = reserved.filter(|key| !self.has_room(now, *key))?;
+        let healthy = self.healthy(service, now);
+        healthy.into_iter().find(|state| state.key == key)
+    }
+
+    /// Updates the limits, which are divided by the number of processes.
+    pub fn tick_limits(&mut self, now: Instant, processes: usize) {
+        let targets = &self.targets;
+        let is_known = |key| targets.values().any(|state| state.key == key);
+        self.limits.tick(now, processes, is_known);
+    }
+
     fn target_by_key(&mut self, key: TargetKey) -> Option<&mut TargetState> {
         self.targets.values_mut().find(|state| state.key == key)
     }
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -230,9 +230,11 @@
             "crashes" => change.crashes,
             "remaining_ms" => u64::try_from(change.remaining_ms.as_millis()).unwrap_or(u64::MAX),
             "is_own" => change.is_own),
-        LogEvent::LimitChange { target, rate } => info!(logger, "target limit changed";
+        LogEvent::LimitChange { target, change } => info!(logger, "target limit changed";
             "code" => "CS5110", "target" => truncated(target),
-            "requests_per_s" => rate.map(Rate::requests_per_s)),
+            "before_per_s" => change.before.map(Rate::requests_per_s),
+            "requests_per_s" => change.rate.map(Rate::requests_per_s),
+            "is_own" => change.is_own),
         LogEvent::RequestRouted {
             request,
             route,
@@ -283,6 +285,7 @@
             took_ms,
             calls,
             retry_after_ms,
+            ..
         } => info!(logger, "request ended";
             "code" => "CS5204", "request" => truncated(request), "route" => truncated(route),
             "outcome" => outcome, "detail" => truncated(detail), "status" => status,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -1,11 +1,12 @@
 //! Events that are written to the log and counted in the metrics.
 
-use limits::Rate;
+use limits::LimitChange;
 use quarantine::PartChange;
 use smallvec::SmallVec;
 use types::ServiceName;
 use types::TargetName;
 
+use crate::core::RefusalCause;
 use crate::deployment::ConfigurationVersion;
 use crate::deployment::RouteName;
 use crate::deployment::StoreEra;
@@ -91,8 +92,8 @@
     LimitChange {
         /// Name of the target.
         target: TargetName,
-        /// Limit; `None` if it has ended.
-        rate: Option<Rate>,
+        /// Limit before and now.
+        change: LimitChange,
     },
     /// A request was routed.
     RequestRouted {
@@ -171,5 +172,7 @@
         calls: u32,
         /// `Retry-After` of a refused request.
         retry_after_ms: Option<u64>,
+        /// Why it was refused; `None` if it was not.
+        refusal: Option<RefusalCause>,
     },
 }
