--- a/benches/slopes/messages.rs
+++ b/benches/slopes/messages.rs
@@ -61,6 +61,7 @@
             adapters: vec!["bitacora".to_owned()],
         },
         applied: 40,
+        next_start_ms: 0,
         leaving: false,
         away: false,
     }
--- a/components/agent/src/admission.rs
+++ b/components/agent/src/admission.rs
@@ -136,6 +136,9 @@
         {
             return Some(Rejection::Overloaded);
         }
+        if self.has_too_long_wait(now, dispatch) {
+            return Some(Rejection::Overloaded);
+        }
         if !self.is_full() {
             return None;
         }
@@ -148,6 +151,12 @@
         None
     }
 
+    /// Whether the limit of the target leaves no room before the deadline of an attempt.
+    fn has_too_long_wait(&self, now: Instant, dispatch: &Dispatch) -> bool {
+        let waiting = usize::try_from(self.load.queued).unwrap_or(usize::MAX);
+        self.rate_limit.wait(now, waiting) >= dispatch.deadline_ms
+    }
+
     /// Appends bytes to the request body of an attempt.
     pub fn body(
         &mut self,
--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -114,6 +114,8 @@
     /// Estimated prompt length.
     pub prompt_tokens: u32,
     pub phase: Phase,
+    /// When the last request was sent to the target.
+    pub called_at: Instant,
     /// Current run at the target; 0 before the first.
     pub run: RunId,
     pub head: Option<Head>,
@@ -150,6 +152,7 @@
             prompt_tokens: dispatch.work.prompt_tokens,
             work: Some(Box::new(dispatch.work)),
             phase: Phase::Receiving,
+            called_at: now,
             run: 0,
             head: None,
             answer: Answer::default(),
--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -23,6 +23,7 @@
 use crate::limits::Limits;
 use crate::load::LoadReporter;
 use crate::log_event::LogEvent;
+use crate::rate_limit::RateLimit;
 use crate::usage::AnswerTail;
 
 /// Maximum number of idempotent attempts in the history. At 2,000 requests per second this covers
@@ -40,6 +41,7 @@
     pub(crate) by_id: BTreeMap<AttemptId, Attempt>,
     pub(crate) runs: BTreeMap<RunId, AttemptId>,
     queue: BTreeSet<(Instant, AttemptId)>,
+    pub(crate) rate_limit: RateLimit,
     pub(crate) receiving: usize,
     pub(crate) waiting_bytes: u64,
     pub(crate) history: AttemptHistory,
@@ -58,6 +60,7 @@
     pub fn new(limits: Rc<Limits>) -> Self {
         Self {
             load: LoadReporter::new(limits.incarnation),
+            rate_limit: RateLimit::new(limits.incarnation),
             history: AttemptHistory::new(limits.history_limit),
             idempotent_history: AttemptHistory::new(IDEMPOTENT_HISTORY_LIMIT),
             limits,
@@ -96,7 +99,9 @@
 
     pub(crate) fn update_counts(&mut self) {
         self.load.running = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
-        self.load.queued = u32::try_from(self.receiving + self.queue.len()).unwrap_or(u32::MAX);
+        let waiting = self.receiving + self.queue.len();
+        self.load.queued = u32::try_from(waiting).unwrap_or(u32::MAX);
+        self.load.limit = self.rate_limit.opens_at().zip(self.rate_limit.rate());
     }
 
     pub(crate) fn enqueue(&mut self, now: Instant, id: AttemptId) {
@@ -141,7 +146,7 @@
         self.start_next(now, out);
     }
 
-    /// Starts queued attempts while the target has free slots.
+    /// Starts queued attempts while the target has free slots and its limit has room.
     pub(crate) fn start_next(&mut self, now: Instant, out: &mut Vec<Action>) {
         while self.runs.len() < self.limits.concurrency {
             let Some((_, id)) = self.queue.first().copied() else {
@@ -155,14 +160,16 @@
                 self.reject_waiting(now, id, Rejection::DeadlineExceeded, out);
             } else if !self.load.has_loaded(&attempt.needs) {
                 self.reject_waiting(now, id, Rejection::WrongModel, out);
+            } else if !self.rate_limit.has_room(now) {
+                break;
             } else {
-                self.start(id, out);
+                self.start(now, id, out);
             }
         }
         self.update_counts();
     }
 
-    fn start(&mut self, id: AttemptId, out: &mut Vec<Action>) {
+    fn start(&mut self, now: Instant, id: AttemptId, out: &mut Vec<Action>) {
         let run = self.next_run_id;
         let Some(attempt) = self.by_id.get_mut(&id) else {
             return;
@@ -176,6 +183,8 @@
         self.load.queued_tokens -= u64::from(attempt.prompt_tokens);
         attempt.phase = Phase::Running;
         attempt.run = run;
+        attempt.called_at = now;
+        self.rate_limit.record_call(now);
         self.runs.insert(run, id);
         let priority = attempt.priority;
         let idempotent = attempt.idempotent;
--- a/components/agent/src/daemon/log.rs
+++ b/components/agent/src/daemon/log.rs
@@ -65,6 +65,10 @@
                 "code" => code, "request" => format!("{:032x}", attempt.request),
                 "attempt" => attempt.number, "sent" => sent, "detail" => detail);
         }
+        LogEvent::LimitChanged { requests_per_s } => {
+            info!(logger, "target limit changed"; "code" => code,
+                "requests_per_s" => requests_per_s.as_deref());
+        }
         LogEvent::RunResumed {
             attempt,
             offset,
--- a/components/agent/src/daemon/runs.rs
+++ b/components/agent/src/daemon/runs.rs
@@ -13,6 +13,8 @@
 use http::StreamingResponse;
 use http_types::Request;
 use http_types::StatusCode;
+use http_types::headers::HeaderValue;
+use limits::NamedRate;
 use smol::Task;
 use types::AttemptId;
 use types::Headers;
@@ -42,6 +44,8 @@
 const RESUME_HEAD_LIMIT_MS: Duration = Duration::from_secs(2);
 /// Response field with the engine's BLAKE3 digest, in hex, of the bytes before the offset.
 const PREFIX_DIGEST: &str = "x-prefix-digest";
+/// Response field with the requests a second that the target takes.
+const RATE_LIMIT: &str = "x-requests-per-second";
 
 /// Limits of the client for runs. Answers of plain services cannot be resumed, so only
 /// `ANSWER_LIMIT_MS` applies to them.
@@ -175,6 +179,7 @@
 ) -> Result<(), ClientError> {
     let request = build_request(daemon, attempt, priority, work)?;
     let response = daemon.client.send(request).await?;
+    report_named_rate(daemon, run, &response);
     let (content_type, headers) = parse_head(daemon, &response)?;
     daemon.handle_event(Event::Target {
         run,
@@ -198,6 +203,7 @@
     let path = format!("/requests/{}?offset={offset}", engine_request_id(attempt));
     let request = client.request(http_types::Method::Get, &path)?;
     let response = client.send(request).await?;
+    report_named_rate(daemon, run, &response);
     match response.status {
         StatusCode::Ok => {}
         StatusCode::NotFound | StatusCode::Gone | StatusCode::RequestedRangeNotSatisfiable => {
@@ -225,6 +231,24 @@
     relay_body(daemon, run, response, permits).await
 }
 
+/// Reports what an answer says about the limit of the target. One that refuses the request does not
+/// end a limit by not naming it.
+fn report_named_rate(daemon: &Rc<Daemon>, run: RunId, response: &StreamingResponse) {
+    let values = response.headers.get(RATE_LIMIT).into_iter().flatten();
+    let named = NamedRate::from_values(values.map(HeaderValue::as_str));
+    let is_refusal = matches!(
+        response.status,
+        StatusCode::TooManyRequests | StatusCode::ServiceUnavailable
+    );
+    if is_refusal && named == NamedRate::Absent {
+        return;
+    }
+    daemon.handle_event(Event::Target {
+        run,
+        event: TargetEvent::RateNamed(named),
+    });
+}
+
 /// Content type and relayed fields of a response head.
 fn parse_head(
     daemon: &Daemon,
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use limits::NamedRate;
 use serde::Deserialize;
 use serde::Serialize;
 use store::StoreError;
@@ -86,6 +87,8 @@
         /// Other fields to relay to the caller.
         headers: Headers,
     },
+    /// What the head of an answer, which follows, says about the limit of the target.
+    RateNamed(NamedRate),
     /// The engine continues the answer from the offset of an `Action::Resume`.
     Resumed {
         /// HTTP status.
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -18,6 +18,7 @@
 mod load;
 mod log_event;
 mod orders;
+mod rate_limit;
 mod registration;
 mod resume;
 mod runs;
--- a/components/agent/src/load.rs
+++ b/components/agent/src/load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use limits::Rate;
 use types::Incarnation;
 use types::LoadReport;
 use types::LoadedModel;
@@ -31,6 +32,8 @@
     pub loaded: LoadedModel,
     /// Number of the last executed order.
     pub applied: OrderNumber,
+    /// Limit that the target names, and the time from which it takes the next request.
+    pub limit: Option<(Instant, Rate)>,
     /// New work is rejected because the target is drained, replaced or withdrawn, or because this
     /// process is stopping or superseded.
     pub leaving: bool,
@@ -55,6 +58,7 @@
             role: Role::default(),
             loaded: LoadedModel::default(),
             applied: 0,
+            limit: None,
             leaving: false,
             away: true,
         }
@@ -87,11 +91,24 @@
             role: self.role,
             loaded: self.loaded.clone(),
             applied: self.applied,
+            next_start_ms: self.next_start_ms(now),
             leaving: self.leaving,
             away: self.away,
         }
     }
 
+    /// Wait of a further request for its turn under the target's limit.
+    fn next_start_ms(&self, now: Instant) -> u32 {
+        let Some((opens_at, rate)) = self.limit else {
+            return 0;
+        };
+        let queued_ms = f64::from(self.queued) / rate.requests_per_s() * 1e3;
+        let opens_ms = opens_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
+        let wait_ms = (opens_ms + queued_ms).ceil() as u32;
+        wait_ms
+    }
+
     /// Whether everything that an attempt needs is loaded; empty fields match any value.
     #[must_use]
     pub fn has_loaded(&self, needs: &LoadedModel) -> bool {
--- a/components/agent/src/log_event.rs
+++ b/components/agent/src/log_event.rs
@@ -36,6 +36,11 @@
         /// Cause, as text.
         detail: String,
     },
+    /// CS2008: the target named a limit on its requests, changed it or ended it.
+    LimitChanged {
+        /// Requests a second; `None` if the limit has ended.
+        requests_per_s: Option<String>,
+    },
     /// CS2101: execution of an order has begun.
     OrderStarted {
         /// Number of the order that was started.
@@ -122,6 +127,7 @@
             Self::Leaving { .. } => "CS2004",
             Self::Released => "CS2005",
             Self::RegistrationRefused { .. } => "CS2007",
+            Self::LimitChanged { .. } => "CS2008",
             Self::OrderStarted { .. } => "CS2101",
             Self::OrderSent { .. } => "CS2102",
             Self::OrderFailed { .. } => "CS2103",
--- a/components/agent/src/resume.rs
+++ b/components/agent/src/resume.rs
@@ -60,15 +60,18 @@
     pub(crate) fn start_resumes(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some(entry) = self.pending_resumes.first_entry()
             && entry.key().0 <= now
+            && self.rate_limit.has_room(now)
         {
             let ((_, run), detail) = entry.remove_entry();
             // The run may have ended in the meantime.
             let Some(id) = self.runs.get(&run).copied() else {
                 continue;
             };
-            let Some(attempt) = self.by_id.get(&id) else {
+            let Some(attempt) = self.by_id.get_mut(&id) else {
                 continue;
             };
+            attempt.called_at = now;
+            self.rate_limit.record_call(now);
             let offset = attempt.answer.length();
             out.push(Action::Log(LogEvent::RunResumed {
                 attempt: id,
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use limits::NamedRate;
 use types::AttemptId;
 use types::RunState;
 use types::ServiceKind;
@@ -52,6 +53,7 @@
                 };
                 self.head_received(now, id, head, out);
             }
+            TargetEvent::RateNamed(named) => self.record_named_rate(now, id, named, out),
             TargetEvent::Bytes(bytes) => {
                 if let Some(attempt) = self.by_id.get_mut(&id) {
                     attempt.read_state = ReadState::Idle;
@@ -114,6 +116,24 @@
         self.relay(now, id, out);
     }
 
+    /// Applies the limit that the target names, or does not name any more.
+    fn record_named_rate(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        named: NamedRate,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(called_at) = self.by_id.get(&id).map(|attempt| attempt.called_at) else {
+            return;
+        };
+        if self.rate_limit.record_answer(now, called_at, named) {
+            let requests_per_s = self.rate_limit.rate().map(|rate| rate.to_string());
+            out.push(Action::Log(LogEvent::LimitChanged { requests_per_s }));
+            self.start_next(now, out);
+        }
+    }
+
     fn run_failed(
         &mut self,
         now: Instant,
--- a/components/agent/tests/attempts/main.rs
+++ b/components/agent/tests/attempts/main.rs
@@ -1,6 +1,7 @@
 //! Attempts under random sequences of dispatch, forbid, resume, cancel, credit and connection loss.
 
 mod fixtures;
+mod rate_limit;
 mod resumes;
 mod world;
 
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -48,6 +48,7 @@
         role: Role::Mixed,
         loaded: LoadedModel::default(),
         applied: 0,
+        next_start_ms: 0,
         leaving: false,
         away: false,
     }
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod table;
 pub mod target;
 pub mod target_cache;
+pub mod target_limit;
 pub mod tasks;
 
 pub use hosts::FakeHosts;
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -29,6 +29,7 @@
 use types::Work;
 
 use crate::target_cache::TargetCache;
+use crate::target_limit::TargetLimit;
 
 /// Size limit of the parts in which an answer is delivered.
 const PART_BYTES: usize = 600;
@@ -110,6 +111,8 @@
     pub kind: ServiceKind,
     /// Refuses orders that are older than the last executed one.
     pub honours_fencing: bool,
+    /// Limit that it names.
+    pub limit: TargetLimit,
     /// Prefix cache; unused by a plain service.
     pub cache: TargetCache,
     execution_log: Rc<RefCell<ExecutionLog>>,
@@ -140,6 +143,7 @@
         Self {
             kind,
             honours_fencing,
+            limit: TargetLimit::default(),
             cache: TargetCache::new(seed ^ 1),
             execution_log,
             rng: StdRng::seed_from_u64(seed),
@@ -203,6 +207,10 @@
             };
             return (Duration::from_millis(1), Event::Target { run, event });
         }
+        if let Err(excess) = self.limit.record_call(now, agent) {
+            let mut execution_log = self.execution_log.borrow_mut();
+            execution_log.violations.push(excess);
+        }
         let number = self.record_run(attempt, &work.body);
         let is_sampled = work.body.last().is_some_and(|byte| byte % 2 == 0);
         let is_long = work.prompt_tokens > LONG_PROMPT_TOKENS;
--- a/components/http/src/forward.rs
+++ b/components/http/src/forward.rs
@@ -36,7 +36,12 @@
     "x-request-id",
 ];
 /// Response fields that the entry sets.
-const SYSTEM_RESPONSE_FIELDS: [&str; 3] = ["content-type", "x-request-id", "x-served-by"];
+const SYSTEM_RESPONSE_FIELDS: [&str; 4] = [
+    "content-type",
+    "x-request-id",
+    "x-requests-per-second",
+    "x-served-by",
+];
 /// Request fields that are forwarded to engines: those of distributed tracing.
 const ENGINE_REQUEST_FIELDS: [&str; 2] = ["traceparent", "tracestate"];
 /// Response fields that are forwarded from engines: those that prevent proxies from caching or
--- a/components/limits/src/rate.rs
+++ b/components/limits/src/rate.rs
@@ -15,6 +15,9 @@
     requests_per_s: f64,
 }
 
+// No rate is a NaN.
+impl Eq for Rate {}
+
 impl Rate {
     /// A rate; `None` if it is not positive and finite.
     #[must_use]
@@ -53,7 +56,7 @@
 }
 
 /// What an answer says about the limit of its target.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum NamedRate {
     /// It names none, or zero.
     #[default]
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -262,7 +262,7 @@
             backlog_share: member.backlog_share(requirements.priority),
         };
         let rates = self.settings.rates(member.target.role);
-        let estimate = match requirements.kind {
+        let mut estimate = match requirements.kind {
             ServiceKind::Model => Estimate::new(rates, &load, &job, member.one_way_ms),
             ServiceKind::Plain => Estimate {
                 slot_ms: load.requests,
@@ -270,6 +270,8 @@
                 ..Estimate::default()
             },
         };
+        let report = member.load.last();
+        estimate.slot_ms += report.map_or(0.0, |report| f64::from(report.next_start_ms));
         let base_rank = if mechanisms.estimate {
             let weight = if mechanisms.count_displaced_work {
                 self.settings.work_weight
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -131,6 +131,7 @@
         role: target.role,
         loaded: target.loaded.clone(),
         applied: 0,
+        next_start_ms: 0,
         leaving: false,
         away: false,
     }
--- a/components/types/src/load.rs
+++ b/components/types/src/load.rs
@@ -36,6 +36,9 @@
     pub loaded: LoadedModel,
     /// Number of the last order that was executed.
     pub applied: OrderNumber,
+    /// Time until the next request would begin under a limit that the target names; 0 without a
+    /// limit.
+    pub next_start_ms: u32,
     /// Whether the target is draining and accepts no new requests.
     pub leaving: bool,
     /// Whether the target is unavailable because of a model or role change or a crash.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -39,4 +39,4 @@
 
 /// Protocol version. A process rejects frames and datagrams of other versions. Version 2 added
 /// header fields to dispatches and answers.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
--- a/examples/gateways/faults.rs
+++ b/examples/gateways/faults.rs
@@ -38,6 +38,9 @@
 const RESTORATION_PROBABILITY: f64 = 0.08;
 /// Time after which an engine that has crashed is back; the users' engines take some seconds.
 const ENGINE_START_MS: Duration = Duration::from_secs(2);
+/// Requests a second that an engine takes, and for how long.
+const LIMIT_PER_S: f64 = 2.0;
+const LIMIT_DURATION_MS: Duration = Duration::from_secs(8);
 /// Number of copies of the store, one for each fault, of which the oldest is used.
 const COPIES: usize = 5;
 
@@ -82,8 +85,10 @@
     let mut version = 1;
     let mut no_fault_until = Instant::now();
     let mut copies: VecDeque<StoreCopy> = VecDeque::new();
+    let mut limit = NamedLimit::default();
     while Instant::now() < until {
         Timer::after(Duration::from_millis(random.random_range(PAUSE_MS))).await;
+        limit.advance(testbed, verdict);
         let leaving: Vec<_> = active
             .iter()
             .filter_map(ActiveFault::leaving_engine)
@@ -163,10 +168,45 @@
         }));
     }
     end_faults(testbed, verdict, active).await?;
+    limit.end(testbed, verdict);
     testbed.restart_crashed_engines(Duration::ZERO, &[]);
     Ok(())
 }
 
+/// Limit that one engine after the other names, without a random number, so that seeds give the
+/// same other faults as before.
+#[derive(Default)]
+struct NamedLimit {
+    turn: usize,
+    named: Option<(String, Instant)>,
+}
+
+impl NamedLimit {
+    /// Ends the limit, or begins the next one, when its time has come.
+    fn advance(&mut self, testbed: &GatewayTestbed, verdict: &RefCell<Verdict>) {
+        match &self.named {
+            Some((_, since)) if since.elapsed() < LIMIT_DURATION_MS => {}
+            Some(_) => self.end(testbed, verdict),
+            None => {
+                let engine = testbed.engines[self.turn % testbed.engines.len()].0.clone();
+                self.turn += 1;
+                testbed.name_limit(&engine.name, Some(LIMIT_PER_S));
+                let mut verdict = verdict.borrow_mut();
+                verdict.count_fault("limit named");
+                self.named = Some((engine.name.clone(), Instant::now()));
+            }
+        }
+    }
+
+    fn end(&mut self, testbed: &GatewayTestbed, verdict: &RefCell<Verdict>) {
+        if let Some((engine, since)) = self.named.take() {
+            testbed.name_limit(&engine, None);
+            let mut verdict = verdict.borrow_mut();
+            verdict.record_limit(&engine, LIMIT_PER_S, since, Instant::now());
+        }
+    }
+}
+
 /// Waits, and starts engines again that crash meanwhile.
 pub async fn restart_engines_for(testbed: &GatewayTestbed, time: Duration) {
     let until = Instant::now() + time;
--- a/examples/gateways/verdict.rs
+++ b/examples/gateways/verdict.rs
@@ -7,6 +7,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use standin::staged_engine::Ledger;
 use testbed::GatewayTestbed;
 
 use crate::retries;
@@ -19,6 +20,10 @@
 const DISTURBANCE_GRACE_MS: Duration = Duration::from_secs(3);
 /// Timeout stated by the callers (3 s) plus the time within which a final answer must follow.
 const ANSWER_LIMIT_MS: Duration = Duration::from_millis(3_000 + 500);
+/// Span in which an engine counts requests under a limit that it names, and time after which the
+/// limit has to hold; required by the users.
+const LIMIT_SPAN_MS: Duration = Duration::from_secs(4);
+const LIMIT_CONTACT_MS: Duration = Duration::from_secs(3);
 /// Most engines that a part of prompts may crash: five, after which the users allow three further
 /// requests with it.
 const CRASH_LIMIT: usize = 8;
@@ -66,6 +71,35 @@
     disturbances: Vec<(Instant, Instant)>,
     faults: BTreeMap<&'static str, u32>,
     crashes: usize,
+    limits: Vec<NamedLimit>,
+}
+
+/// Time in which an engine named a limit.
+#[derive(Debug)]
+struct NamedLimit {
+    engine: String,
+    requests_per_s: f64,
+    from: Instant,
+    until: Instant,
+}
+
+impl NamedLimit {
+    /// Describes a span in which the engine got more requests than the users allow. A gateway that
+    /// is started or was paused may make one call before it is told.
+    fn violation(&self, ledger: &Ledger, disturbances: usize) -> Option<String> {
+        let from = self.from + LIMIT_CONTACT_MS;
+        let most = ledger.most_calls_within(&self.engine, (from, self.until), LIMIT_SPAN_MS);
+        let rate = self.requests_per_s;
+        let allowed = rate * LIMIT_SPAN_MS.as_secs_f64() + to_f64(disturbances);
+        (to_f64(most) > allowed).then(|| {
+            let engine = &self.engine;
+            format!("{engine}: {most} requests in 4 s at a limit of {rate}, {allowed} allowed")
+        })
+    }
+}
+
+fn to_f64(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::MAX, f64::from)
 }
 
 impl Verdict {
@@ -135,6 +169,22 @@
         self.deadly.insert(id.to_owned());
     }
 
+    /// Records that an engine named a limit.
+    pub fn record_limit(
+        &mut self,
+        engine: &str,
+        requests_per_s: f64,
+        from: Instant,
+        until: Instant,
+    ) {
+        self.limits.push(NamedLimit {
+            engine: engine.to_owned(),
+            requests_per_s,
+            from,
+            until,
+        });
+    }
+
     pub fn count_fault(&mut self, name: &'static str) {
         *self.faults.entry(name).or_default() += 1;
     }
@@ -195,6 +245,11 @@
                 .collect();
             violations.extend(retries::violation(service, &ledger.arrivals, &sent));
         }
+        for limit in &self.limits {
+            let during = self.disturbances.iter();
+            let during = during.filter(|(from, to)| *from < limit.until && *to > limit.from);
+            violations.extend(limit.violation(&ledger, during.count()));
+        }
         let crashes = ledger.crashes.len();
         if crashes > CRASH_LIMIT {
             violations.push(format!("a part of prompts crashed {crashes} engines"));
--- a/examples/policy/simulation/engines.rs
+++ b/examples/policy/simulation/engines.rs
@@ -165,6 +165,7 @@
             role,
             loaded: host.target.loaded.clone(),
             applied: host.target.applied,
+            next_start_ms: 0,
             leaving: false,
             away,
         }
--- a/examples/soak/agents.rs
+++ b/examples/soak/agents.rs
@@ -202,7 +202,9 @@
                 self.check_attempt(at, run, attempt);
                 let target = &mut self.agents[at].target;
                 let (delay, event) = target.start(now, run, number, attempt, &work);
+                let told = target.limit.tell(now + delay, run, number);
                 self.check_run_count(&work.body);
+                self.deliver_after(delay, node, run, Input::Agent(told));
                 self.deliver_after(delay, node, run, Input::Agent(event));
             }
             Action::Read { run: number } => {
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fakes::TableFaults;
+use limits::Rate;
 use rand::RngExt;
 use store::HostState;
 use types::OrderKind;
@@ -18,6 +19,10 @@
 
 /// Steps between planned changes in the phase without faults.
 const PLANNED_CHANGE_STEPS: u64 = 25;
+/// Steps after which the next target names a limit.
+const LIMIT_STEPS: u64 = 300;
+/// Requests a second that a target takes at first.
+const LIMIT_PER_S: f64 = 2.0;
 /// Probability of a fault per step in a period with many faults: more than one per second.
 const HIGH_FAULT_PERMILLE: u32 = 130;
 /// Probability of a fault per step in a period with few faults. The planner orders nothing just
@@ -51,12 +56,30 @@
                 if self.chance(chance) {
                     self.inject_fault();
                 }
+                self.change_limits();
                 self.crash_engines_in_change();
                 self.kill_agents_with_order_in_flight();
             }
         }
     }
 
+    /// Makes targets name limits, one after the other, without a random number, so that seeds give
+    /// the same other faults as before.
+    fn change_limits(&mut self) {
+        let step = *self.counts.entry("limit steps").or_default();
+        self.count("limit steps");
+        let at = usize::try_from(step / LIMIT_STEPS).unwrap_or(0) % TARGETS;
+        let rate = match step % LIMIT_STEPS {
+            0 => Rate::per_second(LIMIT_PER_S),
+            // Falls while requests wait.
+            step if step == LIMIT_STEPS / 3 => Rate::per_second(LIMIT_PER_S / 4.0),
+            step if step == LIMIT_STEPS * 2 / 3 => None,
+            _ => return,
+        };
+        self.record_fault("limit named or ended", &format!("{at} {rate:?}"));
+        self.agents[at].target.limit.set_rate(rate);
+    }
+
     /// Alternates between periods with many and with few faults; returns whether few are due.
     fn is_low_fault_period(&mut self) -> bool {
         let now = self.now();
--- a/examples/soak/simulation.rs
+++ b/examples/soak/simulation.rs
@@ -268,6 +268,9 @@
         self.log("phase: faults");
         self.run_for(STEP_MS * steps);
         self.phase = Phase::Recovery;
+        for host in &mut self.agents {
+            host.target.limit.set_rate(None);
+        }
         self.log("phase: recovery");
         self.end_all_faults();
         self.run_for(Duration::from_secs(35));
