--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -331,6 +331,7 @@
             prompt_tokens,
             output_tokens,
             parts,
+            fingerprint: active.request.fingerprint,
         });
         let allowance = self.settings.retries;
         let budget = self.budgets.entry(active.service.clone()).or_default();
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -244,11 +244,13 @@
             prompt_tokens,
             output_tokens,
             parts,
+            fingerprint,
         } => info!(logger, "request routed";
             "code" => "CS5201", "request" => truncated(request), "route" => truncated(route),
             "service" => truncated(service), "version" => version, "left_ms" => left_ms,
             "prompt_tokens" => prompt_tokens, "output_tokens" => output_tokens,
-            "parts" => truncated(&part_list(parts))),
+            "parts" => truncated(&part_list(parts)),
+            "fingerprint" => format!("{fingerprint:016x}")),
         LogEvent::TargetCalled {
             request,
             target,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -12,6 +12,7 @@
 use crate::deployment::StoreEra;
 use crate::fleet::TargetChange;
 use crate::protocol::CallerRequestId;
+use crate::protocol::Fingerprint;
 use crate::protocol::PartId;
 
 /// Event to log; [`crate::log`] assigns its code and text.
@@ -113,6 +114,8 @@
         output_tokens: u32,
         /// Parts of the prompt, in order; empty on plain services.
         parts: SmallVec<[PartId; 4]>,
+        /// Equal for requests that differ only in their ids and timeouts.
+        fingerprint: Fingerprint,
     },
     /// A call to a target was started.
     TargetCalled {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -14,6 +14,9 @@
 
 /// Id of a part of a prompt, derived from its content; equal parts of two prompts have the same id.
 pub type PartId = u64;
+/// Hash of all that makes a request the same when it comes again: method, host, path, caller and
+/// body.
+pub type Fingerprint = u64;
 /// Request id that the caller sent.
 pub type CallerRequestId = String;
 /// Handle under which an engine holds the KV cache of a prompt for a transfer.
@@ -68,6 +71,8 @@
     pub body: Vec<u8>,
     /// Timeout of the caller.
     pub timeout_ms: Duration,
+    /// Equal for requests that differ only in their ids and timeouts.
+    pub fingerprint: Fingerprint,
     /// Sizes of a model request; `None` for other requests.
     pub work: Option<ModelWork>,
     /// Id of the event after which the caller resumes a stream.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -148,6 +148,7 @@
         fields: Vec::new(),
         body: Vec::new(),
         timeout_ms: Duration::from_secs(4),
+        fingerprint: 0xf1,
         work: None,
         resume_after: None,
     })
