--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -192,6 +192,9 @@
             )
         {
             active.runs += 1;
+        } else if matches!(outcome, CallOutcome::NotSent { .. }) {
+            // The KV cache is where it was, and another engine may take it.
+            active.transfer = transfer;
         } else if let Some(transfer) = transfer {
             // The engine may still hold the KV cache, but a second transfer would rarely succeed.
             self.unused_transfers.push(transfer);
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -335,3 +335,26 @@
         assert_eq!(ending(decision), Ending::Cut);
     }
 }
+
+// Issue 26, users' record: a prompt was read again for each decode engine that could not be reached.
+#[test]
+fn prompt_is_read_once_although_decode_engines_cannot_be_reached() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (number, mut decision) = core.start(now, prompt("/draft/1", 1, 13_300, 3_700));
+    let (mut prefills, mut runs) = (0, 0);
+    while let Decision::Call(next) = decision {
+        let outcome = if next.call.step == Step::Prefill {
+            prefills += 1;
+            prefilled()
+        } else {
+            runs += 1;
+            CallOutcome::NotSent {
+                detail: "connection refused".to_owned(),
+            }
+        };
+        decision = core.call_ended(now, number, outcome);
+    }
+    assert_eq!((prefills, runs), (1, 3));
+    assert_eq!(core.take_unused_transfers(now).len(), 1);
+}
