--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -80,6 +80,8 @@
     pub deadly_part: Option<String>,
     /// Path of the request that crashes each engine that runs it.
     pub deadly_path: Option<String>,
+    /// Crashes under that request.
+    pub request_crashes: usize,
     /// Engines that either has crashed.
     pub crashes: Vec<String>,
     /// Engine and request id of each prefilled KV cache by handle, removed on first use.
@@ -203,8 +205,10 @@
     }
 
     /// Sends the head of the answer if it is queued, and ends this and all other runs.
-    async fn crash(&self, exchange: &mut Exchange) {
+    async fn crash(&self, request: &Request, exchange: &mut Exchange) {
         let _ = exchange.flush().await;
+        let is_by_request = self.has_deadly_path(request);
+        self.ledger.borrow_mut().request_crashes += usize::from(is_by_request);
         self.mode.set(EngineMode::Crashed);
         self.crashed_at.set(Some(Instant::now()));
         self.ledger.borrow_mut().crashes.push(self.name.clone());
@@ -275,7 +279,7 @@
             return;
         }
         if self.has_deadly_path(request) && self.mode.get() != EngineMode::Crashed {
-            self.crash(exchange).await;
+            self.crash(request, exchange).await;
         }
         if self.mode.get() == EngineMode::Crashed {
             return responses::abort(exchange);
@@ -349,7 +353,7 @@
                 return;
             }
             if self.has_deadly_part(request) || self.has_deadly_path(request) {
-                self.crash(exchange).await;
+                self.crash(request, exchange).await;
             }
             if self.mode.get() == EngineMode::Crashed {
                 return;
--- a/examples/gateways/main.rs
+++ b/examples/gateways/main.rs
@@ -109,6 +109,7 @@
         })
         .collect();
     testbed.ledger.borrow_mut().deadly_part = Some(callers::DEADLY_PART.to_owned());
+    testbed.ledger.borrow_mut().deadly_path = Some(callers::DEADLY_PATH.to_owned());
     let until = Instant::now() + Duration::from_secs(options.seconds);
     faults::inject(&mut testbed, &verdict, options.seed, until).await?;
     faults::restart_engines_for(&testbed, RECOVERY_MS).await;
--- a/examples/gateways/verdict.rs
+++ b/examples/gateways/verdict.rs
@@ -27,6 +27,8 @@
 /// Most engines that a part of prompts may crash: five, after which the users allow three further
 /// requests with it.
 const CRASH_LIMIT: usize = 8;
+/// Most engines that a request may crash: three, after which the users allow three further retries.
+const REQUEST_CRASH_LIMIT: usize = 6;
 /// Minimum share of requests answered successfully after all faults have ended.
 const RECOVERED_SHARE: f64 = 0.95;
 
@@ -64,13 +66,14 @@
     /// Violations found, printed with the seed.
     pub violations: Vec<String>,
     requests: BTreeMap<String, Request>,
-    /// Requests whose prompt has a part that crashes engines.
+    /// Requests that crash engines.
     deadly: BTreeSet<String>,
     leaving: Vec<Leaving>,
     /// Periods in which a gateway was not running or could not read the store.
     disturbances: Vec<(Instant, Instant)>,
     faults: BTreeMap<&'static str, u32>,
     crashes: usize,
+    request_crashes: usize,
     limits: Vec<NamedLimit>,
 }
 
@@ -164,7 +167,7 @@
         }
     }
 
-    /// Records that the prompt of a request has a part that crashes engines.
+    /// Records that a request crashes engines.
     pub fn record_deadly(&mut self, id: &str) {
         self.deadly.insert(id.to_owned());
     }
@@ -251,6 +254,14 @@
             violations.extend(limit.violation(&ledger, during.count()));
         }
         let crashes = ledger.crashes.len();
+        if ledger.request_crashes > REQUEST_CRASH_LIMIT {
+            let crashes = ledger.request_crashes;
+            violations.push(format!(
+                "a request that comes again crashed {crashes} engines"
+            ));
+        }
+        self.request_crashes = ledger.request_crashes;
+        let crashes = crashes - ledger.request_crashes;
         if crashes > CRASH_LIMIT {
             violations.push(format!("a part of prompts crashed {crashes} engines"));
         }
@@ -284,7 +295,8 @@
         }
         json!({
             "seed": seed, "sent": self.requests.len(), "statuses": statuses,
-            "faults": self.faults, "crashes": self.crashes, "violations": self.violations.len(),
+            "faults": self.faults, "crashes": self.crashes,
+            "request_crashes": self.request_crashes, "violations": self.violations.len(),
         })
     }
 }
