--- a/components/agent/src/daemon/engine.rs
+++ b/components/agent/src/daemon/engine.rs
@@ -49,6 +49,7 @@
 
 impl EngineClient {
     /// Creates a client without open connections.
+    #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         Self {
             queries: Client::new(address, limits(QUERY_LIMIT_MS)),
@@ -57,6 +58,10 @@
     }
 
     /// Fetches the engine's state.
+    ///
+    /// # Errors
+    ///
+    /// The cause, if there is no valid answer.
     pub async fn state(&self) -> Result<EngineState, String> {
         self.get("/state").await
     }
@@ -136,6 +141,7 @@
         connect_ms: QUERY_LIMIT_MS,
         head_ms: answer_ms,
         stall_ms: answer_ms,
+        body_ms: QUERY_LIMIT_MS,
         body_limit_bytes: BODY_LIMIT_BYTES,
         ..ClientLimits::default()
     }
--- a/components/agent/src/daemon/mod.rs
+++ b/components/agent/src/daemon/mod.rs
@@ -1,7 +1,7 @@
 //! The daemon: carries out the actions of the state machine on one thread.
 
 mod connections;
-mod engine;
+pub mod engine;
 mod log;
 mod runs;
 mod server;
--- a/components/http/src/limits.rs
+++ b/components/http/src/limits.rs
@@ -53,6 +53,9 @@
     pub head_ms: Duration,
     /// Longest time without a byte of the response body.
     pub stall_ms: Duration,
+    /// Longest time for a response body that is buffered. One that arrives byte by byte never stalls
+    /// for `stall_ms`.
+    pub body_ms: Duration,
     /// Largest response body that `send_buffered` buffers.
     pub body_limit_bytes: usize,
     /// Interval of TCP keepalive probes, which distinguish an unreachable peer from a slow one.
@@ -71,6 +74,7 @@
             connect_ms: Duration::from_secs(2),
             head_ms: Duration::from_secs(30),
             stall_ms: Duration::from_secs(30),
+            body_ms: Duration::from_mins(2),
             body_limit_bytes: 64 << 20,
             keepalive_ms: None,
             body_until_close: false,
--- a/components/http/src/response.rs
+++ b/components/http/src/response.rs
@@ -2,10 +2,12 @@
 
 use std::time::Instant;
 
+use futures_lite::future;
 use futures_lite::io::Cursor;
 use http_types::Response;
 use http_types::StatusCode;
 use http_types::headers::Headers;
+use smol::Timer;
 
 use crate::body::BodyDecoder;
 use crate::body::Framing;
@@ -114,7 +116,17 @@
     ///
     /// As `next_chunk`; also if the body is larger than `body_limit_bytes`, or if it exceeds the
     /// budget of the client together with other answers.
-    pub async fn into_buffered(mut self) -> Result<BufferedResponse, ClientError> {
+    pub async fn into_buffered(self) -> Result<BufferedResponse, ClientError> {
+        let body_ms = self.shared.limits.body_ms;
+        let timeout = async {
+            Timer::after(body_ms).await;
+            let detail = format!("the body did not end within {body_ms:?}");
+            Err(ClientError::interrupted(detail))
+        };
+        future::or(self.read_body(), timeout).await
+    }
+
+    async fn read_body(mut self) -> Result<BufferedResponse, ClientError> {
         let mut body = Vec::new();
         while let Some(chunk) = self.next_chunk().await? {
             let length = body.len() + chunk.len();
--- a/components/operators/src/client.rs
+++ b/components/operators/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ::control::CommandError;
 use ::control::CommandOutcome;
@@ -20,6 +21,9 @@
 use types::Revision;
 use types::Service;
 
+/// Longest time for the body of an answer.
+const BODY_TIMEOUT_MS: Duration = Duration::from_secs(10);
+
 /// An active profile, as returned by `GET /profiles`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ActiveProfile {
@@ -87,8 +91,12 @@
     /// A client that connects when a request is sent.
     #[must_use]
     pub fn new(addr: SocketAddr, token: &str) -> Self {
+        let limits = ClientLimits {
+            body_ms: BODY_TIMEOUT_MS,
+            ..ClientLimits::default()
+        };
         Self {
-            http: Client::new(addr, ClientLimits::default()),
+            http: Client::new(addr, limits),
             authorization: format!("Bearer {token}"),
         }
     }
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -34,6 +34,8 @@
 const TABLE_MEDIA_TYPE: &str = "application/json";
 /// Media type of objects.
 const OBJECT_MEDIA_TYPE: &str = "application/octet-stream";
+/// Longest time for a whole answer, as a multiple of that for each part of it.
+const BODY_TIMEOUT_FACTOR: u32 = 5;
 /// Delay before the next request for a load if the weight store refuses one without a delay.
 const DEFAULT_LOAD_DELAY_MS: Duration = Duration::from_secs(1);
 
@@ -195,6 +197,7 @@
             connect_ms: options.connect_ms,
             head_ms: options.answer_ms,
             stall_ms: options.answer_ms,
+            body_ms: options.answer_ms * BODY_TIMEOUT_FACTOR,
             body_limit_bytes: options.body_limit_bytes,
             ..ClientLimits::default()
         };
