--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -203,11 +203,15 @@
         if call.is_prefill || active.has_begun() {
             return;
         }
+        let Some((request, parts)) = active.possible_causes.split_last() else {
+            return;
+        };
         let report = CrashReport {
             process: call.key,
             at: now,
             is_likely: is_begun || !active.trial.is_empty(),
-            parts: active.possible_causes.clone(),
+            parts: parts.into(),
+            request: Some(*request),
         };
         self.quarantine.record_crash(now, report);
         self.apply_part_changes(now);
--- a/components/quarantine/src/causes.rs
+++ b/components/quarantine/src/causes.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
     part: PartId,
-    /// Position in the prompt.
+    /// Position in the prompt, from 1; 0 for a whole request.
     depth: usize,
     was_sound: bool,
     crash: AttributedCrash,
@@ -132,12 +132,16 @@
             continue;
         }
         let candidates = crashes.entry(report.process).or_default();
-        for (depth, part) in report.parts.iter().enumerate() {
-            if !evidence.is_cleared(*part, report.at) {
+        let parts = report.parts.iter().enumerate();
+        let parts = parts.map(|(at, part)| (*part, at + 1));
+        // A part is blamed before the whole request, which is refused with it too.
+        let causes = parts.chain(report.request.map(|request| (request, 0)));
+        for (part, depth) in causes {
+            if !evidence.is_cleared(part, report.at) {
                 candidates.push(Candidate {
-                    part: *part,
+                    part,
                     depth,
-                    was_sound: evidence.last_sound(*part).is_some(),
+                    was_sound: evidence.last_sound(part).is_some(),
                     crash: AttributedCrash {
                         process: report.process,
                         at: report.at,
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -35,8 +35,17 @@
     /// Likelier to have crashed the process than others that it had: the head of the answer had
     /// arrived, which requests that wait do not have, or the request was on trial.
     pub is_likely: bool,
-    /// Parts of the prompt that other requests may share, in order, and the whole request.
+    /// Parts of the prompt that other requests may share, in order.
     pub parts: SmallVec<[PartId; 4]>,
+    /// Id of the whole request.
+    pub request: Option<PartId>,
+}
+
+impl CrashReport {
+    /// By what the request may have crashed the process.
+    pub(crate) fn possible_causes(&self) -> impl Iterator<Item = PartId> {
+        self.parts.iter().copied().chain(self.request)
+    }
 }
 
 /// All crash reports, and what contradicts them.
@@ -63,16 +72,15 @@
 impl Evidence {
     /// Adds a report. Returns whether it is new and not contradicted already.
     pub(crate) fn add(&mut self, mut report: CrashReport) -> bool {
-        // The last one is the whole request. Parts that were never sound are likelier causes.
+        // Parts that were never sound are likelier causes.
         if report.parts.len() > PARTS_LIMIT {
             let mut parts = std::mem::take(&mut report.parts);
-            let request = parts.pop();
             parts.sort_by_key(|part| self.last_sound(*part).is_some());
-            report.parts.extend(parts.into_iter().take(PARTS_LIMIT - 1));
-            report.parts.extend(request);
+            report.parts.extend(parts.into_iter().take(PARTS_LIMIT));
         }
         let is_refuted = self.is_refuted(report.process, report.at);
-        if report.parts.is_empty() || is_refuted || self.has(&report) {
+        let is_empty = report.possible_causes().next().is_none();
+        if is_empty || is_refuted || self.has(&report) {
             return false;
         }
         if !report.is_likely && !self.is_confirmed(&report) {
@@ -96,15 +104,19 @@
     fn is_confirmed(&self, report: &CrashReport) -> bool {
         let mut others = self.reports.iter();
         others.any(|other| {
-            let mut parts = other.parts.iter();
-            other.process != report.process
-                && parts.any(|part| report.parts.contains(part) && self.last_sound(*part).is_none())
+            let is_shared = |cause: &PartId| report.possible_causes().any(|own| own == *cause);
+            let mut shared = other.possible_causes().filter(is_shared);
+            other.process != report.process && shared.any(|cause| self.last_sound(cause).is_none())
         })
     }
 
     fn has(&self, report: &CrashReport) -> bool {
         let mut known = self.reports.iter();
-        known.any(|known| known.process == report.process && known.parts == report.parts)
+        known.any(|known| {
+            known.process == report.process
+                && known.parts == report.parts
+                && known.request == report.request
+        })
     }
 
     pub(crate) fn reports(&self) -> &[CrashReport] {
--- a/components/quarantine/src/exchange.rs
+++ b/components/quarantine/src/exchange.rs
@@ -109,6 +109,7 @@
                 at: before(now, crash.age_ms),
                 is_likely: crash.is_likely,
                 parts: crash.parts.into(),
+                request: crash.request,
             };
             self.announce_cleared(now, &report);
             self.evidence.add(report);
@@ -123,10 +124,8 @@
     fn announce_cleared(&mut self, now: Instant, report: &CrashReport) {
         let is_announced = |part: &PartId| self.recent_sound.iter().any(|(sound, _)| sound == part);
         let cleared: SmallVec<[PartId; 4]> = report
-            .parts
-            .iter()
-            .filter(|part| self.evidence.is_cleared(**part, report.at) && !is_announced(part))
-            .copied()
+            .possible_causes()
+            .filter(|part| self.evidence.is_cleared(*part, report.at) && !is_announced(part))
             .collect();
         for part in &cleared {
             if let Some(at) = self.evidence.last_sound(*part) {
@@ -152,6 +151,7 @@
             age_ms: age(report.at),
             is_likely: report.is_likely,
             parts: report.parts.to_vec(),
+            request: report.request,
         });
         let records = self.entries.keys();
         let sound = self.recent_sound.iter().map(|(part, at)| SoundNotice {
--- a/components/quarantine/src/notice.rs
+++ b/components/quarantine/src/notice.rs
@@ -47,6 +47,8 @@
     pub is_likely: bool,
     /// Parts of the prompt.
     pub parts: Vec<PartId>,
+    /// Id of the whole request.
+    pub request: Option<PartId>,
 }
 
 /// A crash that is attributed to a part.
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -264,7 +264,8 @@
         let mut reports = self.evidence.reports().iter();
         self.entries.contains_key(&part)
             || reports.any(|report| {
-                report.parts.contains(&part) && !self.evidence.is_cleared(part, report.at)
+                report.possible_causes().any(|cause| cause == part)
+                    && !self.evidence.is_cleared(part, report.at)
             })
     }
 
--- a/components/quarantine/tests/common/mod.rs
+++ b/components/quarantine/tests/common/mod.rs
@@ -51,6 +51,7 @@
             at: self.now,
             is_likely,
             parts: parts.into(),
+            request: None,
         };
         self.state.record_crash(self.now, report);
     }
--- a/components/request/src/parts.rs
+++ b/components/request/src/parts.rs
@@ -167,6 +167,9 @@
         let Some(attempt) = run.attempt.as_ref() else {
             return;
         };
+        let Some((request, parts)) = run.possible_causes.split_last() else {
+            return;
+        };
         let report = CrashReport {
             process: self
                 .parts
@@ -175,7 +178,8 @@
             // The agent has tried to resume the answer of an engine, which has certainly ended. A
             // plain service may only have lost the answer.
             is_likely: run.requirements.kind == ServiceKind::Model || !run.trial_parts.is_empty(),
-            parts: run.possible_causes.as_slice().into(),
+            parts: parts.into(),
+            request: Some(*request),
         };
         self.parts.quarantine.record_crash(cx.now, report);
         self.report_part_changes(cx);
