--- a/components/testbed/src/raw_engine.rs
+++ b/components/testbed/src/raw_engine.rs
@@ -85,3 +85,15 @@
          Content-Length: {length}\r\n\r\n{body}"
     )
 }
+
+/// Answer to a prefill, with a handle that no engine knows.
+#[must_use]
+pub fn prefill_answer(head: &str) -> String {
+    let id = request_id(head);
+    let body = r#"{"handle":"unknown","tokens":1,"version":1}"#;
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Type: application/json\r\n\
+         Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+}
