--- /dev/null
+++ b/components/gateway/src/core/configuration.rs
@@ -0,0 +1,89 @@
+//! Which configuration is in force.
+//!
+//! It never goes back. A process that starts knows no older one; if the store has come back from an
+//! older copy, its peers may still have a newer configuration than the store, until the operator
+//! writes it again.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::core::Core;
+use crate::deployment::Configuration;
+use crate::deployment::ConfigurationVersion;
+use crate::log_event::LogEvent;
+
+/// Time in which a process that starts hears its peers; more than the interval of their messages.
+const PEERS_HEARD_MS: Duration = Duration::from_millis(800);
+/// Longest time after its start for which a process waits for the configuration of its peers.
+const LONGEST_WAIT_MS: Duration = Duration::from_secs(10);
+
+/// What a process that starts knows of configurations that are not in force here yet.
+#[derive(Debug, Default)]
+pub(super) struct StartingConfiguration {
+    is_store_restored: bool,
+    /// Newest version that a peer has in force.
+    of_peers: Option<ConfigurationVersion>,
+    held: Option<Rc<Configuration>>,
+}
+
+impl StartingConfiguration {
+    pub(super) fn set_store_restored(&mut self) {
+        self.is_store_restored = true;
+    }
+
+    /// Whether to wait for a newer configuration than that of the store.
+    fn should_wait(&self, since_start: Duration, version: ConfigurationVersion) -> bool {
+        if !self.is_store_restored || since_start >= LONGEST_WAIT_MS {
+            return false;
+        }
+        self.of_peers
+            .map_or(since_start < PEERS_HEARD_MS, |of_peers| of_peers > version)
+    }
+}
+
+impl Core {
+    /// Records the version of the configuration that a peer has in force.
+    pub fn record_peer_configuration(&mut self, version: Option<ConfigurationVersion>) {
+        self.starting.of_peers = self.starting.of_peers.max(version);
+    }
+
+    /// Applies a configuration that waits for those of the peers, once it is clear that they have
+    /// none that is newer.
+    pub(super) fn tick_configuration(&mut self, now: Instant) {
+        if let Some(held) = self.starting.held.take() {
+            self.apply_configuration(now, held);
+        }
+    }
+
+    pub(super) fn apply_configuration(&mut self, now: Instant, configuration: Rc<Configuration>) {
+        let before = self.configuration.as_ref().map(|current| current.version);
+        let since_start = now.saturating_duration_since(self.started);
+        if before.is_none()
+            && self
+                .starting
+                .should_wait(since_start, configuration.version)
+        {
+            self.starting.held = Some(configuration);
+            return;
+        }
+        self.starting.held = None;
+        if let Some(in_force) = before
+            && configuration.version <= in_force
+        {
+            if configuration.version < in_force {
+                self.log_events.push(LogEvent::ConfigurationIgnored {
+                    version: configuration.version,
+                    in_force,
+                });
+            }
+            return;
+        }
+        self.log_events.push(LogEvent::ConfigurationApplied {
+            version: configuration.version,
+            before,
+            routes: configuration.routes.len(),
+        });
+        self.configuration = Some(configuration);
+    }
+}
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod active;
 mod arrivals;
 mod conclude;
+mod configuration;
 mod decision;
 mod limits;
 mod parts;
@@ -47,6 +48,7 @@
 
 use self::active::ActiveRequest;
 use self::arrivals::Arrivals;
+use self::configuration::StartingConfiguration;
 pub use self::decision::CallOutcome;
 pub use self::decision::Decision;
 pub use self::decision::Ending;
@@ -91,6 +93,7 @@
     started: Instant,
     incarnation: Incarnation,
     configuration: Option<Rc<Configuration>>,
+    starting: StartingConfiguration,
     has_targets: bool,
     /// Health, load and prefix caches of the targets.
     pub fleet: Fleet,
@@ -117,6 +120,7 @@
             started: now,
             incarnation,
             configuration: None,
+            starting: StartingConfiguration::default(),
             has_targets: false,
             fleet: Fleet::new(now, incarnation),
             budgets: HashMap::new(),
@@ -189,7 +193,7 @@
     pub fn apply_update(&mut self, now: Instant, update: DeploymentUpdate) {
         match update {
             DeploymentUpdate::Configuration(configuration) => {
-                self.apply_configuration(configuration);
+                self.apply_configuration(now, configuration);
             }
             DeploymentUpdate::TargetWritten(entry) => {
                 let name = entry.name.clone();
@@ -221,6 +225,7 @@
                 self.fleet.set_store_unavailable();
                 self.log_events.push(LogEvent::StoreUnavailable { detail });
             }
+            DeploymentUpdate::StoreRestoredBeforeStart { .. } => self.starting.set_store_restored(),
             DeploymentUpdate::StoreRestored { before, era } => {
                 self.fleet.set_store_restored(now);
                 self.log_events
@@ -238,32 +243,12 @@
         self.quarantine.tick(now);
         self.apply_part_changes(now);
         self.tick_limits(now);
+        self.tick_configuration(now);
         for (name, change) in self.fleet.tick(now) {
             self.log_target_change(name, Some(change));
         }
     }
 
-    fn apply_configuration(&mut self, configuration: Rc<Configuration>) {
-        let before = self.configuration.as_ref().map(|current| current.version);
-        if let Some(in_force) = before
-            && configuration.version <= in_force
-        {
-            if configuration.version < in_force {
-                self.log_events.push(LogEvent::ConfigurationIgnored {
-                    version: configuration.version,
-                    in_force,
-                });
-            }
-            return;
-        }
-        self.log_events.push(LogEvent::ConfigurationApplied {
-            version: configuration.version,
-            before,
-            routes: configuration.routes.len(),
-        });
-        self.configuration = Some(configuration);
-    }
-
     fn log_target_change(&mut self, target: TargetName, change: Option<TargetChange>) {
         if let Some(change) = change {
             self.log_events
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -23,6 +23,7 @@
 use crate::core::PrefillReport;
 use crate::daemon::Daemon;
 use crate::deployment::ChangeVersion;
+use crate::deployment::ConfigurationVersion;
 use crate::deployment::PeerEntry;
 use crate::fleet::Load;
 use crate::fleet::PeerLoad;
@@ -68,6 +69,8 @@
 struct LoadMessage {
     /// Version of the newest change in the store that the sender has applied.
     known: ChangeVersion,
+    /// Configuration that the sender has in force.
+    configuration: Option<ConfigurationVersion>,
     loads: Vec<TargetLoad>,
     #[serde(rename = "readings")]
     prefills: Vec<Prefill>,
@@ -161,6 +164,7 @@
     message: LoadMessage,
 ) {
     daemon.deployment.set_peer_version(message.known);
+    core.record_peer_configuration(message.configuration);
     let loads = message.loads.iter().map(|load| PeerLoad {
         key: load.key,
         load: Load {
@@ -215,6 +219,7 @@
             (core.take_prefill_reports(), core.take_unreachable_reports())
         };
         let known_version = daemon.deployment.known_version();
+        let configuration = daemon.core.borrow().configuration().map(|c| c.version);
         let is_unchanged = prefill_reports.is_empty()
             && unreachable.is_empty()
             && loads == last_loads
@@ -227,6 +232,7 @@
         for changes in split_reports(prefill_reports, &unreachable) {
             let message = LoadMessage {
                 known: known_version,
+                configuration,
                 loads: loads.clone(),
                 prefills: changes.prefills,
                 unreachable: changes.unreachable,
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -204,6 +204,11 @@
     },
     /// The store is available again.
     StoreAvailable,
+    /// The store came back from an older copy some time before this process started.
+    StoreRestoredBeforeStart {
+        /// Era now.
+        era: StoreEra,
+    },
     /// The store came back from an older copy. Snapshots of all tables follow.
     StoreRestored {
         /// Era before.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -493,3 +493,32 @@
         Ok(())
     });
 }
+
+// Issue 23: a gateway that started before the operator had written again served the older routes.
+#[test]
+fn restored_store_does_not_give_a_starting_gateway_an_older_configuration() {
+    with_gateways("gateway-restored-start", 2, async |mut testbed| {
+        Timer::after(PEERING_MS).await;
+        let copy = testbed.store.copy();
+        testbed.configure(5, &["/before/"]);
+        Timer::after(CONFIGURATION_LIMIT_MS).await;
+        testbed.store.restore(copy);
+        Timer::after(CONFIGURATION_LIMIT_MS / 2).await;
+        testbed.gateways[1].process.kill();
+        testbed.gateways[1].process.restart()?;
+        Timer::after(CONFIGURATION_LIMIT_MS).await;
+        let status = match send_request_to(&testbed, 1, "u1", "/before/1").await {
+            Ok(response) => u16::from(response.status),
+            Err(_) => 0,
+        };
+        assert_ne!(status, 404, "it serves routes that were replaced");
+        testbed.configure(7, &["/before/", "/after/"]);
+        Timer::after(CONFIGURATION_LIMIT_MS).await;
+        assert!(testbed.is_ready(1).await);
+        for (id, path) in [("u2", "/before/1"), ("u3", "/after/1")] {
+            let response = send_request_to(&testbed, 1, id, path).await?;
+            assert_eq!(u16::from(response.status), 200, "{path}");
+        }
+        Ok(())
+    });
+}
