--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -172,13 +172,12 @@
         self.record_live_process(now, call);
     }
 
-    /// Whether a request that was lost is not to be sent again. A stream has certainly been begun
-    /// by its engine; other requests may have waited, so that one more call of them is a trial.
+    /// Whether a request that was lost is not to be sent again: its loss was a trial, or a part of
+    /// its prompt is suspect. One that is suspect only as a whole may be sent again, as a trial.
     pub(super) fn is_crash_suspect(&self, active: &ActiveRequest) -> bool {
-        if active.engine.is_some() {
-            return self.quarantine.has_suspect(&active.possible_causes);
-        }
-        !active.trial.is_empty()
+        let parts = active.possible_causes.split_last();
+        let parts = parts.map_or(&[][..], |(_, parts)| parts);
+        !active.trial.is_empty() || self.quarantine.has_suspect(parts)
     }
 
     /// Reports a run whose target closed the connection before the first event.
--- a/components/gateway/tests/crashing_request.rs
+++ b/components/gateway/tests/crashing_request.rs
@@ -174,3 +174,30 @@
     }
     assert!(refused <= 2, "{refused} of 60 requests refused");
 }
+
+// Every stream that an engine had not begun when it crashed was lost to its caller.
+#[test]
+fn stream_on_a_sound_prompt_is_sent_again_after_its_engine_has_crashed() {
+    let mut world = World::new();
+    assert!(world.serve(prompt("/tag/1", 1, 1_000, 500)));
+    for is_begun in [false, true] {
+        let request = prompt("/tag/1", 1, 1_000, 600);
+        let (number, mut decision) = world.core.start(world.now, request);
+        let mut runs = 0;
+        while let Decision::Call(next) = decision {
+            world.wait(RUN_MS);
+            let outcome = match next.call.step {
+                Step::Prefill => CallOutcome::Prefilled(PrefillResult {
+                    handle: "m1".to_owned(),
+                }),
+                Step::Run(_) => {
+                    runs += 1;
+                    crash(is_begun)
+                }
+            };
+            decision = world.core.call_ended(world.now, number, outcome);
+        }
+        assert_eq!(runs, 2, "is_begun: {is_begun}");
+        world.wait(INTERVAL_MS);
+    }
+}
