--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use limits::NamedRate;
+use limits::Rate;
 use serde::Deserialize;
 use serde::Serialize;
 use store::StoreError;
@@ -58,6 +59,9 @@
     pub decode_backlog_tokens: u64,
     /// Used part of the KV cache, in thousandths.
     pub cache_used_permille: u16,
+    /// Limit on requests that the engine names, also while none is answered.
+    #[serde(default)]
+    pub requests_per_s: Option<Rate>,
 }
 
 /// Outcome of sending an order to the engine.
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -16,6 +16,7 @@
 use crate::attempts::Attempts;
 use crate::event::Action;
 use crate::event::ConnectionId;
+use crate::event::EngineLoad;
 use crate::event::RunId;
 use crate::event::TargetEvent;
 use crate::history::Record;
@@ -124,9 +125,27 @@
         named: NamedRate,
         out: &mut Vec<Action>,
     ) {
-        let Some(called_at) = self.by_id.get(&id).map(|attempt| attempt.called_at) else {
-            return;
-        };
+        if let Some(called_at) = self.by_id.get(&id).map(|attempt| attempt.called_at) {
+            self.apply_named_rate(now, called_at, named, out);
+        }
+    }
+
+    /// Applies what the engine reports of its load. A limit in it is known before the first answer
+    /// of an agent that has just started; only answers end one.
+    pub fn engine_load(&mut self, now: Instant, load: EngineLoad, out: &mut Vec<Action>) {
+        if let Some(rate) = load.requests_per_s {
+            self.apply_named_rate(now, now, NamedRate::Limit(rate), out);
+        }
+        self.load.set_engine_load(now, load);
+    }
+
+    fn apply_named_rate(
+        &mut self,
+        now: Instant,
+        called_at: Instant,
+        named: NamedRate,
+        out: &mut Vec<Action>,
+    ) {
         if self.rate_limit.record_answer(now, called_at, named) {
             let requests_per_s = self.rate_limit.rate().map(|rate| rate.to_string());
             out.push(Action::Log(LogEvent::LimitChanged { requests_per_s }));
--- a/components/agent/src/state_machine.rs
+++ b/components/agent/src/state_machine.rs
@@ -113,7 +113,7 @@
                 self.attempts.target_event(now, run, event, &mut out);
                 return out;
             }
-            Event::EngineLoad(load) => self.attempts.load.set_engine_load(now, load),
+            Event::EngineLoad(load) => self.attempts.engine_load(now, load, &mut out),
             Event::CacheEvents(events) => self.cache_events(events, &mut out),
             Event::EngineState(state) => {
                 self.orders.engine_state(state, &mut out);
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -338,6 +338,7 @@
     pub fn load(&self) -> Option<EngineLoad> {
         let running = self.runs.len() as u64;
         (!self.is_down).then_some(EngineLoad {
+            requests_per_s: self.limit.rate(),
             age_ms: 500,
             prefill_backlog_tokens: running * 200,
             decode_backlog_tokens: running * 50,
--- a/components/fakes/src/target_limit.rs
+++ b/components/fakes/src/target_limit.rs
@@ -22,6 +22,12 @@
 }
 
 impl TargetLimit {
+    /// Limit that it names.
+    #[must_use]
+    pub fn rate(&self) -> Option<Rate> {
+        self.rate
+    }
+
     /// Names another limit from now on, or none.
     pub fn set_rate(&mut self, rate: Option<Rate>) {
         self.rate = rate;
