--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -199,7 +199,8 @@
             } => true,
             _ => return,
         };
-        if call.is_prefill || active.has_begun() {
+        let had_crashed = self.quarantine.had_crashed(call.key, call.started);
+        if call.is_prefill || active.has_begun() || had_crashed {
             return;
         }
         let Some((request, parts)) = active.possible_causes.split_last() else {
--- a/components/gateway/tests/crashing_request.rs
+++ b/components/gateway/tests/crashing_request.rs
@@ -201,3 +201,40 @@
         world.wait(INTERVAL_MS);
     }
 }
+
+// Soak seed 1009: a request that was sent to an engine that was down, and again to one that crashed,
+// was taken as the cause of both crashes instead of the deadly one.
+#[test]
+fn request_that_is_lost_at_an_engine_that_is_down_already_is_not_quarantined() {
+    let mut world = World::new();
+    let deadly = with_fingerprint(&plain("/order/1"), DEADLY);
+    let lost = with_fingerprint(&plain("/read/1"), DEADLY + 1);
+    let start = |world: &mut World, request: &Rc<CallerRequest>| {
+        let (number, decision) = world.core.start(world.now, request.clone());
+        let Decision::Call(next) = decision else {
+            panic!("{decision:?}");
+        };
+        world.wait(RUN_MS);
+        (number, next.call.target)
+    };
+    let (first, down) = start(&mut world, &deadly);
+    world.core.call_ended(world.now, first, crash(false));
+    world.wait(RUN_MS);
+    let other = if down == "desk-1" { "desk-2" } else { "desk-1" };
+    let removed = DeploymentUpdate::TargetRemoved(other.to_owned());
+    world.core.apply_update(world.now, removed);
+    let (beside, _) = start(&mut world, &lost);
+    let written = target(other, common::PLAIN_SERVICE, types::Role::Mixed);
+    let update = DeploymentUpdate::TargetWritten(written);
+    world.core.apply_update(world.now, update);
+    let decision = world.core.call_ended(world.now, beside, crash(false));
+    assert!(matches!(decision, Decision::Call(_)), "{decision:?}");
+    let (second, _) = start(&mut world, &deadly);
+    for number in [second, beside] {
+        world.core.call_ended(world.now, number, crash(false));
+    }
+    let (_, decision) = world.core.start(world.now, lost);
+    assert!(matches!(decision, Decision::Call(_)), "{decision:?}");
+    let (_, decision) = world.core.start(world.now, deadly);
+    assert!(matches!(decision, Decision::End(_)), "{decision:?}");
+}
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -187,6 +187,14 @@
         reports.any(|report| report.process == process)
     }
 
+    /// Whether a process had been reported as crashed when a call of it began, so that the loss of
+    /// the call is no evidence.
+    #[must_use]
+    pub fn had_crashed(&self, process: ProcessKey, called_at: Instant) -> bool {
+        let mut reports = self.evidence.reports().iter();
+        reports.any(|report| report.process == process && report.at <= called_at)
+    }
+
     fn is_suspect(&self, part: PartId) -> bool {
         self.suspects.contains(&part) || self.entries.contains_key(&part)
     }
