--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -43,6 +43,9 @@
 const TRIAL_RETRY_AFTER_MS: Duration = Duration::from_secs(1);
 /// Time without a notice after which the trials of another process are taken as ended.
 const PEER_TRIALS_LIFETIME_MS: Duration = Duration::from_millis(1_500);
+/// Time after a crash in which calls of the process are lost because it is down. Later, a process
+/// that was reported as crashed has only lost answers, or was started again.
+const DOWN_MS: Duration = Duration::from_secs(3);
 /// Whether a request may be sent to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
@@ -187,12 +190,13 @@
         reports.any(|report| report.process == process)
     }
 
-    /// Whether a process had been reported as crashed when a call of it began, so that the loss of
-    /// the call is no evidence.
+    /// Whether a process had been reported as crashed shortly before a call of it began, so that
+    /// the loss of the call is no evidence.
     #[must_use]
     pub fn had_crashed(&self, process: ProcessKey, called_at: Instant) -> bool {
-        let mut reports = self.evidence.reports().iter();
-        reports.any(|report| report.process == process && report.at <= called_at)
+        let reports = self.evidence.reports().iter();
+        let mut times = reports.filter(|report| report.process == process);
+        times.any(|report| report.at <= called_at && called_at < report.at + DOWN_MS)
     }
 
     fn is_suspect(&self, part: PartId) -> bool {
--- a/components/quarantine/tests/single_process.rs
+++ b/components/quarantine/tests/single_process.rs
@@ -259,3 +259,15 @@
     process.wait(seconds(601.0));
     assert_eq!(process.admission(&[DEADLY]), Admission::Free);
 }
+
+// Soak seed 1002: an engine that had lost answers was taken as down for ten minutes, so that the
+// crashes of the deadly request were no evidence.
+#[test]
+fn process_that_has_lost_answers_counts_again_when_it_crashes_later() {
+    let mut process = Process::start();
+    process.crash_waiting(1, &[SHARED]);
+    process.wait(seconds(1.0));
+    assert!(process.state.had_crashed(1, process.now));
+    process.wait(seconds(3.0));
+    assert!(!process.state.had_crashed(1, process.now));
+}
