--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -70,6 +70,8 @@
     pub arrivals: Vec<Arrival>,
     /// All calls, those that release a KV cache included.
     pub calls: Vec<EngineCall>,
+    /// Answers that named a limit, by engine.
+    pub limits_named: Vec<(String, Instant)>,
     /// Requests for which an engine has accepted a prefill.
     prefilled: BTreeSet<String>,
     /// Runs by request id.
@@ -224,6 +226,10 @@
 
     fn name_limit(&self, head: &mut Response) {
         if let Some(requests_per_s) = self.requests_per_s.get() {
+            let mut ledger = self.ledger.borrow_mut();
+            ledger
+                .limits_named
+                .push((self.name.clone(), Instant::now()));
             head.insert_header("server-limit", requests_per_s.to_string());
         }
     }
--- a/examples/gateways/verdict.rs
+++ b/examples/gateways/verdict.rs
@@ -90,7 +90,10 @@
     /// Describes a span in which the engine got more requests than the users allow. A gateway that
     /// is started or was paused may make one call before it is told.
     fn violation(&self, ledger: &Ledger, disturbances: usize) -> Option<String> {
-        let from = self.from + LIMIT_CONTACT_MS;
+        // While an engine loses its answers, nobody is told.
+        let mut named = ledger.limits_named.iter();
+        let first = named.find(|(engine, at)| *engine == self.engine && *at >= self.from)?;
+        let from = first.1 + LIMIT_CONTACT_MS;
         let most = ledger.most_calls_within(&self.engine, (from, self.until), LIMIT_SPAN_MS);
         let rate = self.requests_per_s;
         let allowed = rate * LIMIT_SPAN_MS.as_secs_f64() + to_f64(disturbances);
