--- a/components/quarantine/src/causes.rs
+++ b/components/quarantine/src/causes.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
     part: PartId,
-    /// Position in the prompt, from 1; 0 for a whole request.
+    /// Position in the prompt; a whole request is after all parts.
     depth: usize,
     was_sound: bool,
     crash: AttributedCrash,
@@ -132,11 +132,7 @@
             continue;
         }
         let candidates = crashes.entry(report.process).or_default();
-        let parts = report.parts.iter().enumerate();
-        let parts = parts.map(|(at, part)| (*part, at + 1));
-        // A part is blamed before the whole request, which is refused with it too.
-        let causes = parts.chain(report.request.map(|request| (request, 0)));
-        for (part, depth) in causes {
+        for (depth, part) in report.possible_causes().enumerate() {
             if !evidence.is_cleared(part, report.at) {
                 candidates.push(Candidate {
                     part,
