--- a/components/limits/src/exchange.rs
+++ b/components/limits/src/exchange.rs
@@ -80,8 +80,8 @@
         self.sent = Some(now);
         self.is_change_unsent = false;
         let sent_ms = now.saturating_duration_since(self.started);
+        let is_own_share_free = self.is_own_share_free(now);
         let (own, members) = (self.own, &self.members);
-        let is_own_share_free = sent_ms >= LOAN_MS;
         let mut targets = Vec::new();
         for (target, entry) in &mut self.entries {
             let rate = entry.limit.rate();
--- a/components/limits/src/limits.rs
+++ b/components/limits/src/limits.rs
@@ -191,12 +191,16 @@
     }
 
     fn usable_rate(&self, now: Instant, entry: &Entry, rate: Rate) -> Option<Rate> {
-        // The process before this one may have lent the share.
-        let is_own_share_free = now.saturating_duration_since(self.started) >= LOAN_MS;
+        let is_own_share_free = self.is_own_share_free(now);
         let loans = &entry.loans;
         loans.usable_rate(now, self.own, is_own_share_free, rate, self.processes)
     }
 
+    /// Whether no loan of the process that ran here before this one can be in use any more.
+    pub(crate) fn is_own_share_free(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= LOAN_MS
+    }
+
     /// Sets the pace at a target by the shares that this process may use now.
     pub(crate) fn update_pace(&mut self, now: Instant, target: ProcessKey) {
         let Some(entry) = self.entries.get(&target) else {
--- a/components/limits/src/loans.rs
+++ b/components/limits/src/loans.rs
@@ -146,7 +146,7 @@
         Some((borrower, member.sent_ms))
     }
 
-    /// Part of the limit that this process may use; 0 if it has too little to use it safely.
+    /// Part of the limit that this process may use; `None` if it has too little to use it safely.
     pub(crate) fn usable_rate(
         &self,
         now: Instant,
