--- a/components/gateway/src/core/configuration.rs
+++ b/components/gateway/src/core/configuration.rs
@@ -9,7 +9,9 @@
 use std::time::Instant;
 
 use crate::core::Core;
+use crate::core::millis;
 use crate::deployment::Configuration;
+use crate::deployment::ConfigurationSource;
 use crate::deployment::ConfigurationVersion;
 use crate::log_event::LogEvent;
 
@@ -18,13 +20,16 @@
 /// Longest time after its start for which a process waits for the configuration of its peers.
 const LONGEST_WAIT_MS: Duration = Duration::from_secs(10);
 
+/// Time for which peers have a newer configuration before that is logged.
+const REPORTED_LAG_MS: Duration = Duration::from_secs(1);
+
 /// What a process that starts knows of configurations that are not in force here yet.
 #[derive(Debug, Default)]
 pub(super) struct StartingConfiguration {
     is_store_restored: bool,
     /// Newest version that a peer has in force.
     of_peers: Option<ConfigurationVersion>,
-    held: Option<Rc<Configuration>>,
+    held: Option<(Rc<Configuration>, ConfigurationSource)>,
 }
 
 impl StartingConfiguration {
@@ -44,19 +49,56 @@
 
 impl Core {
     /// Records the version of the configuration that a peer has in force.
-    pub fn record_peer_configuration(&mut self, version: Option<ConfigurationVersion>) {
+    pub fn record_peer_configuration(
+        &mut self,
+        now: Instant,
+        version: Option<ConfigurationVersion>,
+    ) {
         self.starting.of_peers = self.starting.of_peers.max(version);
+        let in_force = self.configuration.as_ref().map(|current| current.version);
+        if version > in_force {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
+    /// Newest version that this process or a peer is known to have in force.
+    #[must_use]
+    pub fn newest_configuration(&self) -> Option<ConfigurationVersion> {
+        let in_force = self.configuration.as_ref().map(|current| current.version);
+        in_force.max(self.starting.of_peers)
+    }
+
+    /// Logs once if peers have had a newer configuration for too long.
+    fn report_lag(&mut self, now: Instant) {
+        let (Some(since), Some(newest)) = (self.behind_since, self.starting.of_peers) else {
+            return;
+        };
+        let behind = now.saturating_duration_since(since);
+        if behind < REPORTED_LAG_MS || std::mem::replace(&mut self.is_lag_reported, true) {
+            return;
+        }
+        self.log_events.push(LogEvent::ConfigurationBehind {
+            in_force: self.configuration.as_ref().map(|current| current.version),
+            newest,
+            behind_ms: millis(behind),
+        });
     }
 
     /// Applies a configuration that waits for those of the peers, once it is clear that they have
     /// none that is newer.
     pub(super) fn tick_configuration(&mut self, now: Instant) {
-        if let Some(held) = self.starting.held.take() {
-            self.apply_configuration(now, held);
+        if let Some((held, source)) = self.starting.held.take() {
+            self.apply_configuration(now, held, source);
         }
+        self.report_lag(now);
     }
 
-    pub(super) fn apply_configuration(&mut self, now: Instant, configuration: Rc<Configuration>) {
+    pub(super) fn apply_configuration(
+        &mut self,
+        now: Instant,
+        configuration: Rc<Configuration>,
+        source: ConfigurationSource,
+    ) {
         let before = self.configuration.as_ref().map(|current| current.version);
         let since_start = now.saturating_duration_since(self.started);
         if before.is_none()
@@ -64,7 +106,7 @@
                 .starting
                 .should_wait(since_start, configuration.version)
         {
-            self.starting.held = Some(configuration);
+            self.starting.held = Some((configuration, source));
             return;
         }
         self.starting.held = None;
@@ -83,7 +125,16 @@
             version: configuration.version,
             before,
             routes: configuration.routes.len(),
+            source,
+            behind_ms: self.behind_since.map(|since| {
+                let behind = now.saturating_duration_since(since);
+                millis(behind)
+            }),
         });
+        if self.starting.of_peers <= Some(configuration.version) {
+            self.behind_since = None;
+            self.is_lag_reported = false;
+        }
         self.configuration = Some(configuration);
     }
 }
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -94,6 +94,9 @@
     incarnation: Incarnation,
     configuration: Option<Rc<Configuration>>,
     starting: StartingConfiguration,
+    /// Since when a peer has a newer configuration than this process.
+    behind_since: Option<Instant>,
+    is_lag_reported: bool,
     has_targets: bool,
     /// Health, load and prefix caches of the targets.
     pub fleet: Fleet,
@@ -121,6 +124,8 @@
             incarnation,
             configuration: None,
             starting: StartingConfiguration::default(),
+            behind_since: None,
+            is_lag_reported: false,
             has_targets: false,
             fleet: Fleet::new(now, incarnation),
             budgets: HashMap::new(),
@@ -192,8 +197,8 @@
     /// Applies an update from the platform.
     pub fn apply_update(&mut self, now: Instant, update: DeploymentUpdate) {
         match update {
-            DeploymentUpdate::Configuration(configuration) => {
-                self.apply_configuration(now, configuration);
+            DeploymentUpdate::Configuration(configuration, source) => {
+                self.apply_configuration(now, configuration, source);
             }
             DeploymentUpdate::TargetWritten(entry) => {
                 let name = entry.name.clone();
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -164,7 +164,7 @@
     message: LoadMessage,
 ) {
     daemon.deployment.set_peer_version(message.known);
-    core.record_peer_configuration(message.configuration);
+    core.record_peer_configuration(now, message.configuration);
     let loads = message.loads.iter().map(|load| PeerLoad {
         key: load.key,
         load: Load {
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -170,11 +170,35 @@
     pub address: SocketAddr,
 }
 
+/// How a configuration reached this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// Read of the whole table in the store.
+    Snapshot,
+    /// Long poll of the store.
+    Poll,
+    /// Read of the store without a wait, because a peer had announced a newer version or the call
+    /// before had failed.
+    ImmediateRead,
+}
+
+impl ConfigurationSource {
+    /// Name for logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Snapshot => "snapshot",
+            Self::Poll => "poll",
+            Self::ImmediateRead => "immediate-read",
+        }
+    }
+}
+
 /// Update from the platform.
 #[derive(Debug, Clone)]
 pub enum DeploymentUpdate {
     /// The whole configuration was read.
-    Configuration(Rc<Configuration>),
+    Configuration(Rc<Configuration>, ConfigurationSource),
     /// A target's entry was written.
     TargetWritten(TargetEntry),
     /// A target's entry was removed or became unreadable.
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -204,8 +204,18 @@
             version,
             before,
             routes,
+            source,
+            behind_ms,
         } => info!(logger, "configuration applied";
-            "code" => "CS5101", "version" => version, "before" => before, "routes" => routes),
+            "code" => "CS5101", "version" => version, "before" => before, "routes" => routes,
+            "source" => source.label(), "behind_ms" => behind_ms),
+        LogEvent::ConfigurationBehind {
+            in_force,
+            newest,
+            behind_ms,
+        } => warn!(logger, "configuration behind that of peers";
+            "code" => "CS5111", "in_force" => in_force, "newest" => newest,
+            "behind_ms" => behind_ms),
         LogEvent::ConfigurationIgnored { version, in_force } => {
             warn!(logger, "older configuration ignored";
                 "code" => "CS5102", "version" => version, "in_force" => in_force);
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -7,6 +7,7 @@
 use types::TargetName;
 
 use crate::core::RefusalCause;
+use crate::deployment::ConfigurationSource;
 use crate::deployment::ConfigurationVersion;
 use crate::deployment::RouteName;
 use crate::deployment::StoreEra;
@@ -46,6 +47,20 @@
         before: Option<ConfigurationVersion>,
         /// Number of routes.
         routes: usize,
+        /// How it reached this process.
+        source: ConfigurationSource,
+        /// Time since a peer was first known to have a newer version than the one before; `None`
+        /// if none had announced one.
+        behind_ms: Option<u64>,
+    },
+    /// Peers have a newer configuration than this process, for too long.
+    ConfigurationBehind {
+        /// Version in force here.
+        in_force: Option<ConfigurationVersion>,
+        /// Newest version that a peer has announced.
+        newest: ConfigurationVersion,
+        /// Time since it was announced.
+        behind_ms: u64,
     },
     /// A configuration was ignored because it is older than the one in force.
     ConfigurationIgnored {
