--- /dev/null
+++ b/components/freshness/src/place.rs
@@ -0,0 +1,39 @@
+//! The position of a process among those that hear each other.
+
+use std::time::Duration;
+
+/// Age at which the first process checks its view. A change must be in force within a second.
+const CHECK_AGE_MS: Duration = Duration::from_millis(400);
+/// Additional age for each process that comes before; a notice of its check arrives earlier.
+const CHECK_AGE_PER_PLACE_MS: Duration = Duration::from_millis(20);
+/// Bound on the additional age.
+const MAX_ADDITIONAL_AGE_MS: Duration = Duration::from_millis(300);
+/// Additional age for each process that is told of a check; bounds the checking process to about
+/// 1,250 notices a second.
+const NOTICE_MS: Duration = Duration::from_micros(800);
+/// Time between two failed checks for each process, so that all processes together make 100 a
+/// second.
+const FAILED_CHECK_MS: Duration = Duration::from_millis(10);
+
+/// Position of a process among those that hear each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Number of processes that come before this one.
+    pub rank: u32,
+    /// Number of processes, this one included.
+    pub processes: u32,
+}
+
+impl Place {
+    /// Age at which this process checks its view.
+    pub(crate) fn check_age_ms(self) -> Duration {
+        let additional = CHECK_AGE_PER_PLACE_MS.saturating_mul(self.rank);
+        CHECK_AGE_MS.max(NOTICE_MS.saturating_mul(self.processes))
+            + additional.min(MAX_ADDITIONAL_AGE_MS)
+    }
+
+    /// Time between two checks that fail.
+    pub(crate) fn failed_check_interval_ms(self) -> Duration {
+        CHECK_AGE_MS.max(FAILED_CHECK_MS.saturating_mul(self.processes))
+    }
+}
--- a/components/gateway/src/core/configuration.rs
+++ b/components/gateway/src/core/configuration.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use freshness::Source;
+use types::HostName;
+
 use crate::core::Core;
 use crate::core::millis;
 use crate::deployment::Configuration;
@@ -48,29 +51,56 @@
 }
 
 impl Core {
-    /// Records the version of the configuration that a peer has in force.
+    /// Records the configuration that a peer has in force, and the age of its view.
     pub fn record_peer_configuration(
         &mut self,
         now: Instant,
+        host: &HostName,
         version: Option<ConfigurationVersion>,
+        age: Option<Duration>,
     ) {
         self.starting.of_peers = self.starting.of_peers.max(version);
-        let in_force = self.configuration.as_ref().map(|current| current.version);
-        if version > in_force {
-            self.behind_since.get_or_insert(now);
+        let version = version.unwrap_or_default();
+        if version > self.view.newest() {
+            self.newest_peer = Some(host.clone());
         }
+        self.view.hear(now, version, age);
+    }
+
+    /// Age of this process's view of the configuration; `None` if it was never checked.
+    #[must_use]
+    pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
+        self.view.age(now)
+    }
+
+    /// The question about the configuration that is due now, if there is one.
+    pub fn next_configuration_question(&mut self, now: Instant, host: &HostName) -> Option<Source> {
+        self.view.next_question(now, self.fleet.peers.place(host))
+    }
+
+    /// Records the end of that question.
+    pub fn configuration_answered(&mut self, now: Instant, host: &HostName, is_answered: bool) {
+        let place = self.fleet.peers.place(host);
+        self.view.answered(now, place, is_answered);
+    }
+
+    /// Peer that has a newer configuration than this process.
+    #[must_use]
+    pub fn peer_with_newer_configuration(&self) -> Option<&HostName> {
+        let is_behind = self.view.newest() > self.view.applied();
+        self.newest_peer.as_ref().filter(|_| is_behind)
     }
 
     /// Newest version that this process or a peer is known to have in force.
     #[must_use]
     pub fn newest_configuration(&self) -> Option<ConfigurationVersion> {
-        let in_force = self.configuration.as_ref().map(|current| current.version);
-        in_force.max(self.starting.of_peers)
+        Some(self.view.newest()).filter(|newest| *newest > 0)
     }
 
     /// Logs once if peers have had a newer configuration for too long.
     fn report_lag(&mut self, now: Instant) {
-        let (Some(since), Some(newest)) = (self.behind_since, self.starting.of_peers) else {
+        let newest = self.view.newest();
+        let Some(since) = self.view.behind_since().filter(|_| newest > 0) else {
             return;
         };
         let behind = now.saturating_duration_since(since);
@@ -126,15 +156,14 @@
             before,
             routes: configuration.routes.len(),
             source,
-            behind_ms: self.behind_since.map(|since| {
-                let behind = now.saturating_duration_since(since);
-                millis(behind)
-            }),
+            behind_ms: self
+                .view
+                .behind_since()
+                .filter(|_| before.is_some())
+                .map(|since| millis(now.saturating_duration_since(since))),
         });
-        if self.starting.of_peers <= Some(configuration.version) {
-            self.behind_since = None;
-            self.is_lag_reported = false;
-        }
+        self.view.apply(now, configuration.version);
+        self.is_lag_reported = false;
         self.configuration = Some(configuration);
     }
 }
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -21,12 +21,14 @@
 use std::time::Instant;
 
 use ::limits::Returns;
+use freshness::View;
 use quarantine::Quarantine;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use smallvec::SmallVec;
 use types::DataCentre;
+use types::HostName;
 use types::Incarnation;
 use types::ServiceName;
 use types::TargetName;
@@ -94,8 +96,9 @@
     incarnation: Incarnation,
     configuration: Option<Rc<Configuration>>,
     starting: StartingConfiguration,
-    /// Since when a peer has a newer configuration than this process.
-    behind_since: Option<Instant>,
+    view: View,
+    /// Peer that has announced the newest configuration that is not in force here.
+    newest_peer: Option<HostName>,
     is_lag_reported: bool,
     has_targets: bool,
     /// Health, load and prefix caches of the targets.
@@ -124,7 +127,8 @@
             incarnation,
             configuration: None,
             starting: StartingConfiguration::default(),
-            behind_since: None,
+            view: View::new(now),
+            newest_peer: None,
             is_lag_reported: false,
             has_targets: false,
             fleet: Fleet::new(now, incarnation),
@@ -200,6 +204,7 @@
             DeploymentUpdate::Configuration(configuration, source) => {
                 self.apply_configuration(now, configuration, source);
             }
+            DeploymentUpdate::ConfigurationChecked => self.view.check(now),
             DeploymentUpdate::TargetWritten(entry) => {
                 let name = entry.name.clone();
                 let change = self.fleet.write_entry(entry);
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon: carries out the core's decisions on a single-threaded executor.
 
 mod callers;
+mod configuration;
 mod monitoring;
 mod peers;
 mod recorder;
@@ -25,6 +26,7 @@
 use rand::RngExt;
 use smol::LocalExecutor;
 use smol::Timer;
+use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::net::TcpListener;
 use types::Clock;
@@ -93,6 +95,8 @@
     /// Ends the call in progress of a request when the sender is dropped.
     cancellers: RefCell<HashMap<RequestNumber, Sender<()>>>,
     peers: RefCell<Vec<PeerEntry>>,
+    /// Wakes the task that tells peers of a check of the configuration.
+    checked: (Sender<()>, Receiver<()>),
     log: Log,
     recorder: MetricsRecorder,
 }
@@ -135,6 +139,7 @@
         Rc::new(move |update| daemon.apply_update(update))
     };
     daemon.spawn(daemon.deployment.clone().follow(sink));
+    configuration::start(&daemon).await?;
     monitoring::start(&daemon, ready, metrics);
     stop::serve_until_stopped(&daemon, callers, stop).await;
     Ok(())
@@ -203,6 +208,7 @@
             cancellers: RefCell::default(),
             answers: ByteBudget::new(answer_bytes),
             peers: RefCell::default(),
+            checked: smol::channel::bounded(1),
             log: Log::new(&settings.host),
             recorder: MetricsRecorder::install().wrap_err("cannot install the metrics recorder")?,
             settings,
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -48,7 +48,7 @@
 /// Maximum number of unreachable targets in one message.
 const UNREACHABLE_LIMIT: usize = 8;
 /// Format version of messages; messages of other versions are ignored.
-const FORMAT: u8 = 5;
+const FORMAT: u8 = 6;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
@@ -63,6 +63,16 @@
     Load(LoadMessage),
     Parts(Notice),
     Limits(limits::Notice),
+    Configuration(ConfigurationNotice),
+}
+
+/// A check of the configuration in the store.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct ConfigurationNotice {
+    /// Version that the sender has in force.
+    version: Option<ConfigurationVersion>,
+    /// Age of the sender's view of the configuration.
+    view_age_ms: Option<u32>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -71,6 +81,8 @@
     known: ChangeVersion,
     /// Configuration that the sender has in force.
     configuration: Option<ConfigurationVersion>,
+    /// Age of the sender's view of the configuration.
+    view_age_ms: Option<u32>,
     loads: Vec<TargetLoad>,
     #[serde(rename = "readings")]
     prefills: Vec<Prefill>,
@@ -106,6 +118,7 @@
         .await
         .wrap_err_with(|| format!("cannot receive datagrams on {address}"))?;
     daemon.spawn(receive(daemon.clone(), socket.clone()));
+    daemon.spawn(send_checks(daemon.clone(), socket.clone()));
     daemon.spawn(send(daemon.clone(), socket));
     Ok(())
 }
@@ -151,6 +164,12 @@
         Content::Load(load) => apply_load(daemon, &mut core, now, &message.host, load),
         Content::Parts(notice) => core.receive_part_notice(now, &message.host, notice),
         Content::Limits(notice) => core.receive_limit_notice(now, message.incarnation, &notice),
+        Content::Configuration(notice) => {
+            let age = notice
+                .view_age_ms
+                .map(|age| Duration::from_millis(age.into()));
+            core.record_peer_configuration(now, &message.host, notice.version, age);
+        }
     }
     drop(core);
     daemon.process_core_output();
@@ -164,7 +183,10 @@
     message: LoadMessage,
 ) {
     daemon.deployment.set_peer_version(message.known);
-    core.record_peer_configuration(now, message.configuration);
+    let age = message
+        .view_age_ms
+        .map(|age| Duration::from_millis(age.into()));
+    core.record_peer_configuration(now, host, message.configuration, age);
     let loads = message.loads.iter().map(|load| PeerLoad {
         key: load.key,
         load: Load {
@@ -219,7 +241,7 @@
             (core.take_prefill_reports(), core.take_unreachable_reports())
         };
         let known_version = daemon.deployment.known_version();
-        let configuration = daemon.core.borrow().configuration().map(|c| c.version);
+        let notice = configuration_notice(&daemon);
         let is_unchanged = prefill_reports.is_empty()
             && unreachable.is_empty()
             && loads == last_loads
@@ -232,7 +254,8 @@
         for changes in split_reports(prefill_reports, &unreachable) {
             let message = LoadMessage {
                 known: known_version,
-                configuration,
+                configuration: notice.version,
+                view_age_ms: notice.view_age_ms,
                 loads: loads.clone(),
                 prefills: changes.prefills,
                 unreachable: changes.unreachable,
@@ -244,6 +267,24 @@
     }
 }
 
+/// What this process tells its peers of its configuration.
+fn configuration_notice(daemon: &Daemon) -> ConfigurationNotice {
+    let core = daemon.core.borrow();
+    let age = core.configuration_age(daemon.clock.now());
+    ConfigurationNotice {
+        version: core.configuration().map(|current| current.version),
+        view_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+    }
+}
+
+/// Tells the peers of each check of the configuration at once.
+async fn send_checks(daemon: Rc<Daemon>, socket: UdpSocket) {
+    while daemon.checked.1.recv().await.is_ok() {
+        let notice = configuration_notice(&daemon);
+        broadcast(&daemon, &socket, Content::Configuration(notice)).await;
+    }
+}
+
 fn send_interval_ms(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
     MIN_SEND_INTERVAL_MS.max(SEND_INTERVAL_PER_PEER_MS.saturating_mul(peers))
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -120,6 +120,9 @@
         let version = core.configuration().map_or(0, |current| current.version);
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53
         gauge!("chervilspool_configuration_version").set(version as f64);
+        let age = core.configuration_age(now);
+        gauge!("chervilspool_configuration_view_age_seconds")
+            .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
         let newest = core.newest_configuration().unwrap_or_default();
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53
         gauge!("chervilspool_newest_configuration_version").set(newest as f64);
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
     /// Number within the era.
     pub number: u64,
 }
+/// Configuration as the platform encodes it.
+pub type EncodedConfiguration = Rc<[u8]>;
 /// Name of a route, unique within a configuration.
 pub type RouteName = String;
 
@@ -180,6 +183,8 @@
     /// Read of the store without a wait, because a peer had announced a newer version or the call
     /// before had failed.
     ImmediateRead,
+    /// A peer.
+    Peer,
 }
 
 impl ConfigurationSource {
@@ -190,6 +195,7 @@
             Self::Snapshot => "snapshot",
             Self::Poll => "poll",
             Self::ImmediateRead => "immediate-read",
+            Self::Peer => "peer",
         }
     }
 }
@@ -199,6 +205,8 @@
 pub enum DeploymentUpdate {
     /// The whole configuration was read.
     Configuration(Rc<Configuration>, ConfigurationSource),
+    /// The store has just answered that it has no other configuration than those passed on before.
+    ConfigurationChecked,
     /// A target's entry was written.
     TargetWritten(TargetEntry),
     /// A target's entry was removed or became unreadable.
@@ -248,9 +256,22 @@
     fn follow(
         self: Rc<Self>,
         sink: Rc<dyn Fn(DeploymentUpdate)>,
-    ) -> std::pin::Pin<Box<dyn Future<Output = ()>>>;
+    ) -> Pin<Box<dyn Future<Output = ()>>>;
 
-    /// Version of the newest change applied here; zero before the first.
+    /// Asks the store once for a configuration that was not read yet, on a new connection, and
+    /// passes it to `sink` as [`Self::follow`] does. Returns whether the store answered.
+    fn check_configuration<'a>(
+        &'a self,
+        sink: &'a dyn Fn(DeploymentUpdate),
+    ) -> Pin<Box<dyn Future<Output = bool> + 'a>>;
+
+    /// Newest configuration as the platform encodes it, for peers; `None` before the first.
+    fn encoded_configuration(&self) -> Option<EncodedConfiguration>;
+
+    /// Decodes the configuration of a peer and passes it to `sink`.
+    fn apply_peer_configuration(&self, bytes: &[u8], sink: &dyn Fn(DeploymentUpdate));
+
+    /// Version of the newest change of a target's entry applied here; zero before the first.
     fn known_version(&self) -> ChangeVersion;
 
     /// Records that a peer has applied the changes up to `version`.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use freshness::Place;
 use types::HostName;
 
 use crate::fleet::Load;
@@ -95,6 +96,16 @@
         self.heard().filter(|peer| *peer < host).count() < POLLING_PROCESSES
     }
 
+    /// Position of the process on `host` among those that have not timed out, by host name.
+    #[must_use]
+    pub fn place(&self, host: &HostName) -> Place {
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        Place {
+            rank: count(self.heard().filter(|peer| *peer < host).count()),
+            processes: count(self.heard_count() + 1),
+        }
+    }
+
     fn heard(&self) -> impl Iterator<Item = &HostName> {
         let heard = self.by_host.iter().filter(|(_, peer)| peer.loads.is_some());
         heard.map(|(host, _)| host)
