--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use freshness::View;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -62,17 +63,14 @@
     random: StdRng,
     snapshot: Option<Rc<Snapshot>>,
     recent: VecDeque<Change>,
-    /// Latest revision that the table or another process has reported.
-    known: Revision,
-    lagging_since: Option<Instant>,
+    /// Latest revision that the table or another process has reported, and when the table was read.
+    view: View,
     call: Option<(u64, Instant, Call)>,
     last_operation: u64,
     /// Start of the first request since the last reply of the table.
     unanswered_since: Option<Instant>,
     /// The last table request failed.
     has_failed: bool,
-    /// Every change committed before this time is applied.
-    current_as_of: Option<Instant>,
     next_poll: Instant,
     /// When the last read of the log was started.
     last_log_read: Option<Instant>,
@@ -89,13 +87,11 @@
             random: StdRng::seed_from_u64(seed),
             snapshot: None,
             recent: VecDeque::new(),
-            known: 0,
-            lagging_since: Some(now),
+            view: View::new(now),
             call: None,
             last_operation: 0,
             unanswered_since: None,
             has_failed: false,
-            current_as_of: None,
             next_poll: now,
             last_log_read: None,
             next_peer_poll: now,
@@ -120,16 +116,15 @@
     /// Whether a read of the table within `CURRENT_MS` showed that all changes are applied.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
-        self.current_as_of
-            .is_some_and(|at| now.saturating_duration_since(at) < CURRENT_MS)
+        self.view.age(now).is_some_and(|age| age < CURRENT_MS)
     }
 
     /// Lag behind the latest known revision; `None` if that revision is applied.
     #[must_use]
     pub fn lag(&self, now: Instant) -> Option<FollowerLag> {
-        self.lagging_since.map(|since| FollowerLag {
+        self.view.behind_since().map(|since| FollowerLag {
             applied: self.applied(),
-            known: self.known,
+            known: self.view.newest(),
             for_ms: now.saturating_duration_since(since),
         })
     }
@@ -142,7 +137,7 @@
             None => self.next_poll,
         };
         match self.unanswered_since {
-            Some(since) if self.lagging_since.is_some() => {
+            Some(since) if self.view.behind_since().is_some() => {
                 call.min(self.next_peer_poll.max(since + self.options.peer_delay_ms))
             }
             _ => call,
@@ -173,12 +168,11 @@
 
     /// Records a revision that exists, and reads the log soon if it is not applied.
     fn observe_revision(&mut self, now: Instant, revision: Revision) {
-        if revision <= self.known {
+        if revision <= self.view.newest() {
             return;
         }
-        self.known = revision;
+        self.view.observe(now, revision);
         if revision > self.applied() {
-            self.lagging_since.get_or_insert(now);
             self.poll_soon(now);
         }
     }
@@ -209,7 +203,7 @@
         self.next_poll = now + self.options.poll_ms.mul_f64(share);
         let call = match &self.snapshot {
             None => Call::Loading(Box::default()),
-            Some(snapshot) if self.known > snapshot.revision() => Call::Log,
+            Some(snapshot) if self.view.newest() > snapshot.revision() => Call::Log,
             Some(_) => Call::Head,
         };
         self.start(now, call, actions);
@@ -257,8 +251,8 @@
             Call::Log => self.handle_log(now, &rows, actions),
             Call::Loading(loading) => self.handle_page(now, *loading, &rows, actions),
         };
-        if is_latest && outcome.is_ok() && self.known <= self.applied() {
-            self.current_as_of = Some(sent);
+        if is_latest && outcome.is_ok() && self.view.newest() <= self.applied() {
+            self.view.check(sent);
         }
         if let Err(error) = outcome {
             actions.push(FollowerAction::Rejected {
@@ -270,7 +264,7 @@
     fn handle_head(&mut self, now: Instant, rows: &[store::Row]) -> Result<(), RowError> {
         let head: Option<Head> = rows.first().map(decode).transpose()?;
         self.observe_revision(now, head.unwrap_or_default().revision);
-        if self.known > self.applied() {
+        if self.view.newest() > self.applied() {
             self.poll_soon(now);
         }
         Ok(())
@@ -364,10 +358,8 @@
         actions: &mut Vec<FollowerAction>,
     ) {
         let snapshot = Rc::new(next);
-        self.known = self.known.max(snapshot.revision());
-        let is_behind = self.known > snapshot.revision();
-        self.lagging_since = self.lagging_since.or(Some(now)).filter(|_| is_behind);
-        if is_behind {
+        self.view.apply(now, snapshot.revision());
+        if self.view.behind_since().is_some() {
             self.poll_soon(now);
         }
         self.peer_snapshots.abort_up_to(snapshot.revision());
--- a/components/control/src/follower/exchange.rs
+++ b/components/control/src/follower/exchange.rs
@@ -64,7 +64,7 @@
     /// process may have applied that revision, and the configuration must not revert. Until a peer
     /// with that revision answers, requests are refused as not ready.
     fn would_revert(&self, snapshot: &Snapshot) -> bool {
-        self.snapshot.is_none() && snapshot.revision() < self.known
+        self.snapshot.is_none() && snapshot.revision() < self.view.newest()
     }
 
     /// Requests changes from a peer, if the follower lags and the table is unavailable.
@@ -72,7 +72,7 @@
         let is_unanswered = self.unanswered_since.is_some_and(|since| {
             now.saturating_duration_since(since) >= self.options.peer_delay_ms
         });
-        if !is_unanswered || self.lagging_since.is_none() || now < self.next_peer_poll {
+        if !is_unanswered || self.view.behind_since().is_none() || now < self.next_peer_poll {
             return;
         }
         self.next_peer_poll = now + self.options.poll_ms;
