--- a/components/gateway/src/core/configuration.rs
+++ b/components/gateway/src/core/configuration.rs
@@ -20,6 +20,8 @@
 
 /// Time in which a process that starts hears its peers; more than the interval of their messages.
 const PEERS_HEARD_MS: Duration = Duration::from_millis(800);
+/// The same if it has heard none yet, on a busy host or over lossy links.
+const NO_PEER_HEARD_MS: Duration = Duration::from_secs(3);
 /// Longest time after its start for which a process waits for the configuration of its peers.
 const LONGEST_WAIT_MS: Duration = Duration::from_secs(10);
 
@@ -30,6 +32,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StartingConfiguration {
     is_store_restored: bool,
+    is_peer_heard: bool,
     /// Newest version that a peer has in force.
     of_peers: Option<ConfigurationVersion>,
     held: Option<(Rc<Configuration>, ConfigurationSource)>,
@@ -45,8 +48,13 @@
         if !self.is_store_restored || since_start >= LONGEST_WAIT_MS {
             return false;
         }
+        let longest = if self.is_peer_heard {
+            PEERS_HEARD_MS
+        } else {
+            NO_PEER_HEARD_MS
+        };
         self.of_peers
-            .map_or(since_start < PEERS_HEARD_MS, |of_peers| of_peers > version)
+            .map_or(since_start < longest, |of_peers| of_peers > version)
     }
 }
 
@@ -59,6 +67,7 @@
         version: Option<ConfigurationVersion>,
         age: Option<Duration>,
     ) {
+        self.starting.is_peer_heard = true;
         self.starting.of_peers = self.starting.of_peers.max(version);
         let version = version.unwrap_or_default();
         if version > self.view.newest() {
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -162,6 +162,25 @@
     call(decision);
 }
 
+// On a busy host, the first message of a peer came later than 0.8 s after the start.
+#[test]
+fn starting_gateway_waits_for_late_peers_before_it_uses_a_restored_store() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut core = Core::new(start, settings(), 7);
+    let read =
+        |version, source| DeploymentUpdate::Configuration(Rc::new(configuration(version)), source);
+    core.apply_update(at(0), DeploymentUpdate::StoreRestoredBeforeStart { era: 1 });
+    core.apply_update(at(0), read(5, ConfigurationSource::Snapshot));
+    core.tick(at(900));
+    assert_eq!(core.configuration().map(|c| c.version), None);
+    core.record_peer_configuration(at(1_200), &"peer".to_owned(), Some(8), None);
+    core.tick(at(1_300));
+    assert_eq!(core.configuration().map(|c| c.version), None);
+    core.apply_update(at(1_400), read(8, ConfigurationSource::Peer));
+    assert_eq!(core.configuration().map(|c| c.version), Some(8));
+}
+
 #[test]
 fn unknown_path_and_unknown_host_have_no_route() {
     let now = Instant::now();
