--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -327,6 +327,7 @@
             output_tokens,
             parts,
             fingerprint: active.request.fingerprint,
+            resumes: active.request.resumed_request.clone(),
         });
         let allowance = self.settings.retries;
         let budget = self.budgets.entry(active.service.clone()).or_default();
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -253,6 +253,7 @@
             return Decision::End(no_target());
         };
         let (address, key) = (state.entry.address, state.key);
+        let build = state.entry.build.clone();
         let (waiting_ms, running) = (state.wait_ms(now), state.load().runs);
         let needs_new_connection = state.health.is_on_trial();
         let is_prefill = planned.step == Step::Prefill;
@@ -278,6 +279,7 @@
         self.log_events.push(LogEvent::TargetCalled {
             request: active.request.id.clone(),
             target: planned.target.clone(),
+            build,
             step,
             call: active.calls,
             expected_ms: rounded(planned.expected_ms),
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -24,6 +24,8 @@
 
 /// Version of the whole configuration.
 pub type ConfigurationVersion = u64;
+/// Build of a target's software, not of the weights that it has loaded.
+pub type Build = String;
 /// Number of times that the store came back from an older copy.
 pub type StoreEra = u64;
 
@@ -162,6 +164,8 @@
     pub is_draining: bool,
     /// Role of an engine: prefill, decode or both.
     pub role: Role,
+    /// Build of the target's software; `None` if the entry does not name it.
+    pub build: Option<Build>,
 }
 
 /// Another gateway process.
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -255,15 +255,18 @@
             output_tokens,
             parts,
             fingerprint,
+            resumes,
         } => info!(logger, "request routed";
             "code" => "CS5201", "request" => truncated(request), "route" => truncated(route),
             "service" => truncated(service), "version" => version, "left_ms" => left_ms,
             "prompt_tokens" => prompt_tokens, "output_tokens" => output_tokens,
             "parts" => truncated(&part_list(parts)),
-            "fingerprint" => format!("{fingerprint:016x}")),
+            "fingerprint" => format!("{fingerprint:016x}"),
+            "resumes" => resumes.as_deref().map(truncated)),
         LogEvent::TargetCalled {
             request,
             target,
+            build,
             step,
             call,
             expected_ms,
@@ -274,6 +277,7 @@
             ..
         } => info!(logger, "target called";
             "code" => "CS5202", "request" => truncated(request), "target" => truncated(target),
+            "build" => build.as_deref().map(truncated),
             "step" => step, "call" => call, "expected_ms" => expected_ms,
             "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
             "retries" => retries),
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -7,6 +7,7 @@
 use types::TargetName;
 
 use crate::core::RefusalCause;
+use crate::deployment::Build;
 use crate::deployment::ConfigurationSource;
 use crate::deployment::ConfigurationVersion;
 use crate::deployment::RouteName;
@@ -131,6 +132,8 @@
         parts: SmallVec<[PartId; 4]>,
         /// Equal for requests that differ only in their ids and timeouts.
         fingerprint: Fingerprint,
+        /// Request that began the stream which this one resumes.
+        resumes: Option<CallerRequestId>,
     },
     /// A call to a target was started.
     TargetCalled {
@@ -140,6 +143,8 @@
         target: TargetName,
         /// `prefill`, `run` or `run-after-transfer`.
         step: &'static str,
+        /// Build of the target's software.
+        build: Option<Build>,
         /// Number of the call within its request, from 1.
         call: u32,
         /// Expected time to the first event; 0 for calls without a prefill.
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -77,6 +77,8 @@
     pub work: Option<ModelWork>,
     /// Id of the event after which the caller resumes a stream.
     pub resume_after: Option<String>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumed_request: Option<CallerRequestId>,
 }
 
 /// KV cache of a prompt, held by the engine that ran the prefill.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -113,6 +113,7 @@
         slots: 64,
         is_draining: false,
         role,
+        build: Some("v1".to_owned()),
     }
 }
 
@@ -158,6 +159,7 @@
         fingerprint: NEXT_FINGERPRINT.fetch_add(1, Ordering::Relaxed),
         work: None,
         resume_after: None,
+        resumed_request: None,
     })
 }
 
--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -41,6 +41,10 @@
     pub started_at: Instant,
     /// Number of the event after which the stream was resumed; 0 for a run from the start.
     pub after: u32,
+    /// Request that began the stream: another one if the caller resumes it.
+    pub stream: String,
+    /// Build of the engine.
+    pub build: String,
 }
 
 /// A request that reached an engine, whether it was run or not.
@@ -110,6 +114,27 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Streams with runs of several builds, by the request that began them. Runs that began anew
+    /// because no event had been sent are left out.
+    #[must_use]
+    pub fn streams_across_builds(&self) -> Vec<String> {
+        let mut streams: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        for run in self.runs.values().flatten() {
+            streams.entry(&run.stream).or_default().push(run);
+        }
+        let is_mixed = |runs: &Vec<&Run>| {
+            let mut runs = runs.clone();
+            runs.sort_by_key(|run| run.started_at);
+            let mut build = None;
+            runs.iter().any(|run| {
+                let before = build.replace(&run.build);
+                run.after > 0 && before.is_some_and(|before| *before != run.build)
+            })
+        };
+        let mixed = streams.into_iter().filter(|(_, runs)| is_mixed(runs));
+        mixed.map(|(stream, _)| stream.to_owned()).collect()
+    }
+
     /// Records that an engine accepted a prefill; the first one of a request is no arrival.
     fn accept_prefill(&mut self, id: &str) {
         if self.prefilled.insert(id.to_owned()) {
@@ -166,6 +191,8 @@
     pub requests_per_s: Cell<Option<f64>>,
     /// When a part of a prompt last crashed it.
     pub crashed_at: Cell<Option<Instant>>,
+    /// Build of its software, as in its row of the store.
+    pub build: RefCell<String>,
     /// Record shared by all engines of a test.
     pub ledger: Rc<RefCell<Ledger>>,
 }
@@ -183,11 +210,14 @@
 }
 
 impl StagedEngine {
-    fn record_run(&self, id: &str, after: u32) {
+    fn record_run(&self, request: &Request, id: &str, after: u32) {
+        let stream = header(request, "resumes").unwrap_or(id).to_owned();
         let run = Run {
             engine: self.name.clone(),
             started_at: Instant::now(),
             after,
+            stream,
+            build: self.build.borrow().clone(),
         };
         let mut ledger = self.ledger.borrow_mut();
         ledger.runs.entry(id.to_owned()).or_default().push(run);
@@ -280,7 +310,7 @@
     }
 
     async fn serve_plain(&self, id: &str, request: &Request, exchange: &mut Exchange) {
-        self.record_run(id, 0);
+        self.record_run(request, id, 0);
         if exchange.or_hang_up(Timer::after(WORK_MS)).await.is_err() {
             return;
         }
@@ -347,7 +377,7 @@
         }
         let after = header(request, "last-event-id");
         let after: u32 = after.and_then(|number| number.parse().ok()).unwrap_or(0);
-        self.record_run(id, after);
+        self.record_run(request, id, after);
         if self.mode.get() == EngineMode::LosesResponses {
             return responses::abort(exchange);
         }
--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -58,6 +58,8 @@
 pub const RETRY_SLACK: u32 = 58;
 /// Length of the sliding window in which services count retries.
 pub const RETRY_WINDOW_MS: Duration = Duration::from_secs(10);
+/// Build of engines at the start.
+const FIRST_BUILD: &str = "v1";
 /// Start time of engines that have not crashed, as a Unix time.
 const FIRST_START_MS: usize = 1_700_000_000_000;
 /// Longest wait for a gateway to become ready.
@@ -154,6 +156,7 @@
             mode: Cell::default(),
             requests_per_s: Cell::default(),
             crashed_at: Cell::default(),
+            build: RefCell::new(FIRST_BUILD.to_owned()),
             ledger: self.ledger.clone(),
         });
         let address = self
@@ -205,7 +208,7 @@
         let crashes = ledger.crashes.iter().filter(|crashed| *crashed == name);
         let born = FIRST_START_MS + crashes.count();
         let mut entry = json!({
-            "service": service, "address": address, "zone": "here", "version": "v1", "slots": 64,
+            "service": service, "address": address, "zone": "here", "version": *engine.build.borrow(), "slots": 64,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
         });
         if let Some(role) = role {
@@ -214,6 +217,14 @@
         self.write_entry(name, entry.to_string().as_bytes());
     }
 
+    /// Gives an engine another build, as after its replacement.
+    pub fn set_build(&self, name: &str, build: &str) {
+        for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
+            engine.build.replace(build.to_owned());
+        }
+        self.register(name, "ready");
+    }
+
     /// Writes the store row of an engine, valid or not.
     pub fn write_entry(&self, name: &str, bytes: &[u8]) {
         self.store.put(ENTRIES_TABLE, name, bytes);
@@ -454,6 +465,8 @@
     pub tokens: Option<u32>,
     /// Part of the prompt between the shared prefix and the request's own part.
     pub part: Option<&'a str>,
+    /// Request that began the stream, and id of its last event, to resume a stream.
+    pub resumes: Option<(&'a str, u32)>,
 }
 
 /// Sends a request and reads the complete response.
@@ -477,6 +490,10 @@
         "x-deadline-ms",
         test_request.timeout_ms.as_millis().to_string(),
     );
+    if let Some((began, last_event)) = test_request.resumes {
+        request.insert_header("resumes", began);
+        request.insert_header("last-event-id", last_event.to_string());
+    }
     if let Some(tokens) = test_request.tokens {
         request.insert_header("x-token-counts", format!("{tokens},35"));
         let shared = tokens - tokens / 10;
--- a/examples/gateways/callers.rs
+++ b/examples/gateways/callers.rs
@@ -86,6 +86,7 @@
                 timeout_ms: REQUEST_TIMEOUT_MS,
                 tokens: has_prompt.then_some(tokens),
                 part: has_deadly_part.then_some(DEADLY_PART),
+                resumes: None,
             };
             let sent_at = Instant::now();
             let answer = match send(client, &sent).await {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -49,6 +49,7 @@
             timeout_ms: Duration::from_secs(1),
             tokens: None,
             part: None,
+            resumes: None,
         };
         let status = match send(&client, &request).await {
             Ok(response) => u16::from(response.status),
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -34,6 +34,7 @@
         timeout_ms: Duration::from_secs(3),
         tokens: path.starts_with("/draft/").then_some(2_000),
         part: None,
+        resumes: None,
     };
     let answer = send(&client, &request).await;
     answer.map_or(0, |response| u16::from(response.status))
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -209,6 +209,7 @@
         timeout_ms: Duration::from_secs(3),
         tokens: Some(16_000),
         part: None,
+        resumes: None,
     };
     let started = Instant::now();
     let _ = send(&client, &request).await;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -59,6 +59,7 @@
         timeout_ms: CALLER_TIMEOUT_MS,
         tokens,
         part: None,
+        resumes: None,
     };
     Ok(send(&client, &request).await?)
 }
@@ -322,6 +323,7 @@
             timeout_ms: CALLER_TIMEOUT_MS,
             tokens: Some(4_000),
             part: None,
+            resumes: None,
         };
         let requesting = send(&callers, &request);
         let stopping = async {
@@ -350,6 +352,7 @@
             timeout_ms: CALLER_TIMEOUT_MS,
             tokens: None,
             part: None,
+            resumes: None,
         };
         assert!(send(&caller, &request).await.is_err());
         Timer::after(Duration::from_millis(500)).await;
@@ -374,6 +377,7 @@
         timeout_ms: CALLER_TIMEOUT_MS,
         tokens: Some(4_000 + id.bytes().map(u32::from).sum::<u32>()),
         part,
+        resumes: None,
     };
     Ok(send(&client, &request).await?)
 }
--- a/tests/named_limits.rs
+++ b/tests/named_limits.rs
@@ -35,6 +35,7 @@
             timeout_ms: CALLER_TIMEOUT_MS,
             tokens: path.starts_with("/draft/").then_some(2_000),
             part: None,
+            resumes: None,
         };
         if let Ok(response) = send(&client, &request).await {
             answered += usize::from(response.status.is_success());
--- a/tests/raw_engines.rs
+++ b/tests/raw_engines.rs
@@ -72,6 +72,7 @@
         timeout_ms: CALLER_TIMEOUT_MS,
         tokens: is_model.then_some(4_000),
         part: None,
+        resumes: None,
     };
     let endless = async {
         Timer::after(ENDLESS_MS).await;
