--- /dev/null
+++ b/tests/builds.rs
@@ -0,0 +1,180 @@
+//! Tests of streams while engines of several builds serve side by side.
+
+mod common;
+
+use std::time::Duration;
+
+use common::with_gateways;
+use http::Client;
+use http::ClientLimits;
+use smol::Timer;
+use standin::staged_engine::EVENT_COUNT;
+use standin::staged_engine::EngineMode;
+use standin::staged_engine::event;
+use testbed::GatewayTestbed;
+use testbed::gateways::TestRequest;
+use testbed::gateways::send;
+
+/// Time in which gateways connect to their peers and read the entries of engines.
+const PEERING_MS: Duration = Duration::from_secs(2);
+/// Streams of a test.
+const STREAMS: usize = 24;
+/// Events that an engine in the mode `TruncatesStreams` sends completely.
+const EVENTS_BEFORE_BREAK: u32 = 2;
+
+/// Engines of two builds, two decode engines and one prefill engine of each.
+async fn add_second_build(testbed: &mut GatewayTestbed) -> eyre::Result<()> {
+    use standin::staged_engine::Stage;
+    testbed.add_engine("write-4", Stage::Decode).await?;
+    for name in ["read-2", "write-3", "write-4"] {
+        testbed.set_build(name, "v2");
+    }
+    Timer::after(PEERING_MS).await;
+    Ok(())
+}
+
+/// Sends a request to a gateway; `Some` with the body if it was answered with 200 and completely.
+async fn stream(
+    testbed: &GatewayTestbed,
+    gateway: usize,
+    id: &str,
+    resumes: Option<(&str, u32)>,
+) -> Option<String> {
+    let client = Client::new(testbed.gateways[gateway].callers, ClientLimits::default());
+    let request = TestRequest {
+        id,
+        path: "/tag/1",
+        timeout_ms: Duration::from_secs(3),
+        tokens: Some(4_000),
+        part: None,
+        resumes,
+    };
+    let response = send(&client, &request).await.ok()?;
+    let is_ok = u16::from(response.status) == 200;
+    is_ok.then(|| String::from_utf8(response.body).unwrap_or_default())
+}
+
+/// Lets each engine of a build break its streams, or none.
+fn break_streams(testbed: &GatewayTestbed, build: Option<&str>) {
+    for (engine, _) in &testbed.engines {
+        let is_broken = build.is_some_and(|build| *engine.build.borrow() == build);
+        engine.mode.set(if is_broken {
+            EngineMode::TruncatesStreams
+        } else {
+            EngineMode::Healthy
+        });
+    }
+}
+
+// A stream that broke off went on at an engine of another build within one answer.
+#[test]
+fn broken_stream_does_not_go_on_at_another_build() {
+    with_gateways("builds-answer", 1, async |mut testbed| {
+        add_second_build(&mut testbed).await?;
+        for (number, broken) in (0..STREAMS).zip(["v1", "v2"].into_iter().cycle()) {
+            break_streams(&testbed, Some(broken));
+            let _ = stream(&testbed, 0, &format!("a{number}"), None).await;
+        }
+        let mixed = testbed.ledger.borrow().streams_across_builds();
+        assert!(mixed.is_empty(), "streams of two builds: {mixed:?}");
+        Ok(())
+    });
+}
+
+/// Begins streams that break, and resumes them; returns how many of them go on.
+async fn resume_streams(
+    testbed: &GatewayTestbed,
+    resume_at: impl Fn(usize) -> usize,
+) -> (usize, usize) {
+    let mut begun = Vec::new();
+    for (number, broken) in (0..STREAMS).zip(["v1", "v2"].into_iter().cycle()) {
+        // All engines of the build that begins break streams, so that the answer is cut.
+        break_streams(testbed, Some(broken));
+        let id = format!("b{number}");
+        let is_complete = stream(testbed, 0, &id, None).await.is_some();
+        if !is_complete && testbed.ledger.borrow().runs.contains_key(&id) {
+            begun.push(id);
+        }
+    }
+    break_streams(testbed, None);
+    let mut resumed = 0;
+    for (number, id) in begun.iter().enumerate() {
+        let rest: String = (EVENTS_BEFORE_BREAK + 1..=EVENT_COUNT)
+            .map(|number| event(&format!("{id}r"), number))
+            .collect();
+        let from = Some((id.as_str(), EVENTS_BEFORE_BREAK));
+        let answer = stream(testbed, resume_at(number), &format!("{id}r"), from).await;
+        resumed += usize::from(answer.is_some_and(|body| body == rest));
+    }
+    (begun.len(), resumed)
+}
+
+// A caller that came back to another gateway got the rest of its stream from another build.
+#[test]
+fn resumed_stream_goes_on_at_its_build_at_any_gateway() {
+    with_gateways("builds-tries", 4, async |mut testbed| {
+        add_second_build(&mut testbed).await?;
+        let (begun, resumed) = resume_streams(&testbed, |number| number % 4).await;
+        let mixed = testbed.ledger.borrow().streams_across_builds();
+        assert!(mixed.is_empty(), "streams of two builds: {mixed:?}");
+        assert!(begun >= STREAMS / 3, "{begun} streams broke");
+        assert!(resumed * 10 >= begun * 9, "{resumed} of {begun} go on");
+        Ok(())
+    });
+}
+
+// The gateway that had begun the streams was killed before their callers came back.
+#[test]
+fn resumed_stream_goes_on_at_its_build_after_its_gateway_was_killed() {
+    with_gateways("builds-killed", 4, async |mut testbed| {
+        add_second_build(&mut testbed).await?;
+        let mut begun = Vec::new();
+        for (number, broken) in (0..STREAMS).zip(["v1", "v2"].into_iter().cycle()) {
+            break_streams(&testbed, Some(broken));
+            let id = format!("k{number}");
+            let is_complete = stream(&testbed, 0, &id, None).await.is_some();
+            if !is_complete && testbed.ledger.borrow().runs.contains_key(&id) {
+                begun.push(id);
+            }
+        }
+        testbed.gateways[0].process.kill();
+        break_streams(&testbed, None);
+        let mut resumed = 0;
+        for (number, id) in begun.iter().enumerate() {
+            let from = Some((id.as_str(), EVENTS_BEFORE_BREAK));
+            let answer = stream(&testbed, 1 + number % 3, &format!("{id}r"), from).await;
+            resumed += usize::from(answer.is_some());
+        }
+        let mixed = testbed.ledger.borrow().streams_across_builds();
+        assert!(mixed.is_empty(), "streams of two builds: {mixed:?}");
+        assert!(begun.len() >= STREAMS / 3, "{} streams broke", begun.len());
+        assert!(
+            resumed * 10 >= begun.len() * 9,
+            "{resumed} of {}",
+            begun.len()
+        );
+        Ok(())
+    });
+}
+
+// A gateway that does not know which build began a stream must not guess.
+#[test]
+fn stream_of_an_unknown_build_is_refused_while_several_builds_serve() {
+    with_gateways("builds-unknown", 2, async |mut testbed| {
+        add_second_build(&mut testbed).await?;
+        for number in 0..STREAMS {
+            let from = Some(("lost", 2));
+            let answer = stream(&testbed, number % 2, &format!("u{number}"), from).await;
+            assert_eq!(answer, None);
+        }
+        assert!(
+            !testbed
+                .ledger
+                .borrow()
+                .runs
+                .keys()
+                .any(|id| id.starts_with('u'))
+        );
+        Ok(())
+    });
+}
