--- /dev/null
+++ b/components/builds/src/lib.rs
@@ -0,0 +1,47 @@
+//! Which build of a target's software began a stream, so that it goes on at no other one.
+//!
+//! What two builds write does not fit together, and targets do not check it. A process that begins
+//! a stream knows the build of its target; a caller may resume the stream at any other process. So
+//! each beginning is told to a few processes that all choose alike ([`holders`]), and a process
+//! that does not know a stream asks them. Messages do not grow with the number of processes.
+//!
+//! What is not known is never guessed: [`Directory::get`] returns a build only if it was told by
+//! the process that began the stream, and nothing if two processes told different ones. Entries are
+//! kept for [`LIFETIME_MS`]. The crate does no I/O and reads no clock.
+
+mod directory;
+mod holders;
+mod seen;
+
+use serde::Deserialize;
+use serde::Serialize;
+use types::ServiceName;
+
+pub use crate::directory::Directory;
+pub use crate::directory::LIFETIME_MS;
+pub use crate::holders::StreamKey;
+pub use crate::holders::asked;
+pub use crate::holders::holders;
+pub use crate::holders::stream_key;
+pub use crate::seen::SeenBuilds;
+
+/// Build of a target's software, not of the weights that it has loaded.
+pub type Build = String;
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Service of the target.
+    pub service: ServiceName,
+    /// Build of the target.
+    pub build: Build,
+}
+
+/// Tells other processes where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The stream.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: Origin,
+}
--- /dev/null
+++ b/components/builds/tests/directory.rs
@@ -0,0 +1,102 @@
+//! Tests of the directory of streams.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use builds::Directory;
+use builds::LIFETIME_MS;
+use builds::Notice;
+use builds::Origin;
+use builds::SeenBuilds;
+use builds::asked;
+use builds::holders;
+use builds::stream_key;
+
+fn notice(request: &str, build: &str) -> Notice {
+    Notice {
+        key: stream_key(request),
+        origin: Origin {
+            service: "drafts".to_owned(),
+            build: build.to_owned(),
+        },
+    }
+}
+
+#[test]
+fn entry_that_two_processes_tell_differently_is_not_used() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.record(now, notice("a", "v1"));
+    directory.record(now, notice("b", "v1"));
+    directory.record(now, notice("a", "v2"));
+    assert_eq!(directory.get(now, stream_key("a")), None);
+    directory.record(now, notice("a", "v1"));
+    assert_eq!(directory.get(now, stream_key("a")), None);
+    assert!(directory.get(now, stream_key("b")).is_some());
+}
+
+#[test]
+fn entry_of_an_old_stream_is_not_used() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.record(start, notice("a", "v1"));
+    directory.record(start, notice("renewed", "v1"));
+    directory.record(start + LIFETIME_MS / 2, notice("renewed", "v1"));
+    let later = start + LIFETIME_MS;
+    assert_eq!(directory.get(later, stream_key("a")), None);
+    directory.record(later, notice("b", "v1"));
+    assert_eq!(directory.len(), 2);
+    assert!(directory.get(later, stream_key("renewed")).is_some());
+}
+
+#[test]
+fn number_of_entries_is_bounded() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    for number in 0..100_000 {
+        directory.record(now, notice(&number.to_string(), "v1"));
+    }
+    assert_eq!(directory.len(), 65_536);
+    assert!(directory.get(now, stream_key("99999")).is_some());
+}
+
+#[test]
+fn holder_is_asked_although_some_processes_are_not_heard() {
+    for count in [4_usize, 31, 300, 1_000] {
+        let hosts: Vec<String> = (0..count).map(|number| format!("host-{number}")).collect();
+        let mut held: BTreeMap<&String, usize> = BTreeMap::new();
+        for number in 0..1_000 {
+            let key = stream_key(&number.to_string());
+            let holders = holders(key, &hosts);
+            for holder in &holders {
+                *held.entry(holder).or_default() += 1;
+            }
+            // A tenth of the processes, the holder with the highest rank among them, are not heard.
+            let heard = hosts.iter().enumerate();
+            let heard = heard.filter(|(at, host)| at % 10 != number % 10 && *host != holders[0]);
+            let asked = asked(key, heard.map(|(_, host)| host));
+            let is_found = holders.iter().any(|holder| asked.contains(holder));
+            assert!(is_found, "{count} processes, stream {number}");
+        }
+        let most = held.values().max().copied().unwrap_or_default();
+        let average = 3_000 / count;
+        assert!(most <= 3 * average + 12, "{most} of {average} on average");
+    }
+}
+
+#[test]
+fn single_build_is_certain_only_after_a_long_time_on_a_current_list() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(60);
+    let service = "drafts".to_owned();
+    let mut seen = SeenBuilds::new(start);
+    assert_eq!(seen.only(later, &service, true), None);
+    seen.record(&service, Some(&"v1".to_owned()));
+    seen.record(&service, Some(&"v1".to_owned()));
+    assert_eq!(seen.only(start, &service, true), None);
+    assert_eq!(seen.only(later, &service, false), None);
+    assert!(seen.only(later, &service, true).is_some());
+    seen.record(&service, None);
+    assert_eq!(seen.only(later, &service, true), None);
+}
--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::Build;
+use builds::Origin;
 use smallvec::SmallVec;
 use types::ServiceName;
 use types::TargetName;
@@ -75,10 +77,17 @@
     pub(super) current: Option<CurrentCall>,
     pub(super) transfer: Option<Transfer>,
     pub(super) last_event: Option<String>,
+    /// Where the stream began; `None` before its first event.
+    pub(super) origin: Option<Origin>,
     pub(super) first_ms: Option<u64>,
 }
 
 impl ActiveRequest {
+    /// Build at which the stream has to go on; `None` before its first event.
+    pub(super) fn build(&self) -> Option<&Build> {
+        self.origin.as_ref().map(|origin| &origin.build)
+    }
+
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -72,6 +72,10 @@
     Quarantined,
     /// The request or a part of its prompt may crash engines.
     Suspect,
+    /// It is not known which build began the stream that the request resumes.
+    UnknownBuild,
+    /// No target has the build that began the stream.
+    NoBuild,
 }
 
 impl RefusalCause {
@@ -86,6 +90,8 @@
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
             Self::Suspect => "suspect",
+            Self::UnknownBuild => "unknown-build",
+            Self::NoBuild => "no-build",
         }
     }
 }
@@ -104,6 +110,8 @@
             Self::Suspect => {
                 "the request or a part of its prompt may crash engines, and another call tests it"
             }
+            Self::UnknownBuild => "it is not known which build of the engines began the stream",
+            Self::NoBuild => "no engine that takes work has the build that began the stream",
         })
     }
 }
--- a/components/gateway/src/core/limits.rs
+++ b/components/gateway/src/core/limits.rs
@@ -77,7 +77,7 @@
         if self.fleet.limits.limited_count() == 0 {
             return;
         }
-        let targets = self.fleet.healthy(service, now);
+        let targets = self.fleet.healthy(service, None, now);
         let keys: SmallVec<[TargetKey; 8]> = targets.iter().map(|state| state.key).collect();
         for key in keys {
             self.fleet.limits.record_demand(now, key);
@@ -86,7 +86,7 @@
 
     /// Reserves room for the run after a prefill, if only engines with a limit can run it.
     pub(super) fn reserve_run(&mut self, now: Instant, active: &mut ActiveRequest) {
-        let mut runners = self.fleet.usable(&active.service, now);
+        let mut runners = self.fleet.usable(&active.service, active.build(), now);
         runners.retain(|state| {
             state.entry.role != Role::Prefill && !active.tried_targets.contains(&state.entry.name)
         });
@@ -134,7 +134,13 @@
 
     /// Refusal of a request that no target takes now.
     pub(super) fn no_target(&mut self, now: Instant, active: &ActiveRequest) -> Ending {
-        let healthy = self.fleet.healthy(&active.service, now);
+        let healthy = self.fleet.healthy(&active.service, active.build(), now);
+        if healthy.is_empty() && active.origin.is_some() {
+            return Ending::Refuse {
+                retry_after_ms: plan::NO_TARGET_RETRY_AFTER_MS,
+                cause: RefusalCause::NoBuild,
+            };
+        }
         let untried = healthy
             .iter()
             .filter(|state| !active.tried_targets.contains(&state.entry.name));
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -7,6 +7,7 @@
 
 mod active;
 mod arrivals;
+mod builds;
 mod conclude;
 mod configuration;
 mod decision;
@@ -20,6 +21,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use ::builds::Directory;
+use ::builds::Notice;
+use ::builds::SeenBuilds;
 use ::limits::Returns;
 use freshness::View;
 use quarantine::Quarantine;
@@ -115,6 +119,9 @@
     part_writes: Vec<PartWrite>,
     cancelled: Vec<RequestNumber>,
     returns: HashMap<ServiceName, Returns>,
+    origins: Directory,
+    seen_builds: SeenBuilds,
+    origin_notices: Vec<Notice>,
 }
 
 impl Core {
@@ -144,6 +151,9 @@
             part_writes: Vec::new(),
             cancelled: Vec::new(),
             returns: HashMap::new(),
+            origins: Directory::default(),
+            seen_builds: SeenBuilds::new(now),
+            origin_notices: Vec::new(),
         }
     }
 
@@ -206,6 +216,7 @@
             }
             DeploymentUpdate::ConfigurationChecked => self.view.check(now),
             DeploymentUpdate::TargetWritten(entry) => {
+                self.record_build(&entry);
                 let name = entry.name.clone();
                 let change = self.fleet.write_entry(entry);
                 self.log_target_change(name, change);
@@ -216,6 +227,9 @@
             }
             DeploymentUpdate::TargetSnapshot(entries) => {
                 self.has_targets = true;
+                for entry in &entries {
+                    self.record_build(entry);
+                }
                 for (name, change) in self.fleet.replace_entries(now, entries) {
                     self.log_target_change(name, Some(change));
                 }
@@ -284,8 +298,22 @@
             self.log_unrouted(&request, Ending::NoRoute);
             return (number, Decision::End(Ending::NoRoute));
         };
+        let origin = match self.resumed_origin(now, &route, &request) {
+            Ok(origin) => origin,
+            Err(cause) => {
+                let ending = Ending::Refuse {
+                    retry_after_ms: plan::NO_TARGET_RETRY_AFTER_MS,
+                    cause,
+                };
+                self.log_unrouted(&request, ending);
+                return (number, Decision::End(ending));
+            }
+        };
         let draw = self.random.next_u64();
-        let service = routes::service(&route, draw).cloned().unwrap_or_default();
+        let drawn = routes::service(&route, draw).cloned().unwrap_or_default();
+        let service = origin
+            .as_ref()
+            .map_or(drawn, |origin| origin.service.clone());
         let spec = configuration.services.get(&service);
         let engine = spec.and_then(|spec| spec.engine);
         let timeout = request.timeout_ms.min(route.timeout_ms);
@@ -312,6 +340,7 @@
             current: None,
             transfer: None,
             last_event: None,
+            origin,
             first_ms: None,
             request,
             route,
@@ -344,6 +373,10 @@
         };
         let since_arrival = now.saturating_duration_since(active.received);
         active.first_ms.get_or_insert(millis(since_arrival));
+        self.record_origin(now, number);
+        let Some(active) = self.requests.get_mut(&number) else {
+            return;
+        };
         if let Some(current) = &mut active.current {
             current.prefill_finished(now, &mut self.fleet);
         }
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -99,7 +99,7 @@
 
     fn plan_plain(&mut self, now: Instant, active: &ActiveRequest) -> Result<PlannedCall, Ending> {
         self.record_demand(now, &active.service);
-        let mut targets = self.fleet.usable(&active.service, now);
+        let mut targets = self.fleet.usable(&active.service, active.build(), now);
         if !active.trial.is_empty() {
             let has_crashed = |key| self.quarantine.has_crashed(key);
             placement::retain_trial_target(&mut targets, &active.tried_targets, has_crashed);
@@ -138,7 +138,7 @@
         };
         self.record_demand(now, &active.service);
         let may_transfer = self.is_within_budget(now, active, true);
-        let mut targets = self.fleet.usable(&active.service, now);
+        let mut targets = self.fleet.usable(&active.service, active.build(), now);
         let placement_request = PlacementRequest {
             work,
             hashes: &active.hashes,
@@ -151,6 +151,9 @@
                     .reserved(&active.service, active.reserved_call, now),
             );
             let source = self.fleet.get(&transfer.source);
+            // What one build has written into a KV cache does not fit another.
+            let build = source.and_then(|state| state.entry.build.as_ref());
+            targets.retain(|state| state.entry.build.as_ref() == build);
             let source = source.map_or(&self.settings.data_centre, |s| &s.entry.data_centre);
             let prefix_index = &self.fleet.prefix_index;
             let target = placement::choose_decode_engine(
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -65,6 +65,10 @@
 }
 
 async fn serve(daemon: &Rc<Daemon>, request: Rc<CallerRequest>, exchange: &mut Exchange) {
+    let lookup = Box::pin(daemon.find_origin(&request));
+    if exchange.or_hang_up(lookup).await.is_err() {
+        return;
+    }
     let now = daemon.clock.now();
     let (number, mut decision) = daemon.core.borrow_mut().start(now, request.clone());
     daemon.process_core_output();
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod configuration;
 mod monitoring;
+mod origins;
 mod peers;
 mod recorder;
 mod relay;
@@ -30,6 +31,8 @@
 use smol::channel::Sender;
 use smol::net::TcpListener;
 use types::Clock;
+use types::HostName;
+use types::Incarnation;
 use types::SystemClock;
 
 use crate::core::Core;
@@ -44,6 +47,7 @@
 use crate::protocol::Transfer;
 use crate::settings::GatewaySettings;
 
+use self::peers::Outgoing;
 use self::recorder::MetricsRecorder;
 
 /// Interval of checks for expired peers and targets.
@@ -67,6 +71,8 @@
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 /// File descriptors reserved for connections to targets, peers and the store.
 const RESERVED_SOCKETS: usize = 800;
+/// Messages that wait to be sent to single peers; more are dropped.
+const OUTBOX_LIMIT: usize = 4_096;
 /// Listen backlog.
 const BACKLOG: i32 = 1024;
 
@@ -97,6 +103,10 @@
     peers: RefCell<Vec<PeerEntry>>,
     /// Wakes the task that tells peers of a check of the configuration.
     checked: (Sender<()>, Receiver<()>),
+    /// Messages for single peers.
+    outbox: (Sender<Outgoing>, Receiver<Outgoing>),
+    /// Latest run of each peer.
+    incarnations: RefCell<HashMap<HostName, Incarnation>>,
     log: Log,
     recorder: MetricsRecorder,
 }
@@ -209,6 +219,8 @@
             answers: ByteBudget::new(answer_bytes),
             peers: RefCell::default(),
             checked: smol::channel::bounded(1),
+            outbox: smol::channel::bounded(OUTBOX_LIMIT),
+            incarnations: RefCell::default(),
             log: Log::new(&settings.host),
             recorder: MetricsRecorder::install().wrap_err("cannot install the metrics recorder")?,
             settings,
@@ -255,6 +267,7 @@
         for number in cancelled {
             self.cancellers.borrow_mut().remove(&number);
         }
+        self.send_origin_notices();
         for event in &log_events {
             MetricsRecorder::record(event);
             self.log.write(event);
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -10,10 +10,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::StreamKey;
 use eyre::WrapErr;
 use quarantine::Notice;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 use smol::Timer;
 use smol::net::UdpSocket;
 use types::HostName;
@@ -59,16 +61,27 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-enum Content {
+pub(super) enum Content {
     Load(LoadMessage),
     Parts(Notice),
     Limits(limits::Notice),
     Configuration(ConfigurationNotice),
+    /// Where streams began.
+    Origins(Vec<builds::Notice>),
+    /// Asks where a stream began.
+    OriginQuestion(StreamKey),
+}
+
+/// Message for single peers.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub(super) to: SmallVec<[SocketAddr; 4]>,
+    pub(super) content: Content,
 }
 
 /// A check of the configuration in the store.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct ConfigurationNotice {
+pub(super) struct ConfigurationNotice {
     /// Version that the sender has in force.
     version: Option<ConfigurationVersion>,
     /// Age of the sender's view of the configuration.
@@ -76,7 +89,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct LoadMessage {
+pub(super) struct LoadMessage {
     /// Version of the newest change in the store that the sender has applied.
     known: ChangeVersion,
     /// Configuration that the sender has in force.
@@ -119,6 +132,7 @@
         .wrap_err_with(|| format!("cannot receive datagrams on {address}"))?;
     daemon.spawn(receive(daemon.clone(), socket.clone()));
     daemon.spawn(send_checks(daemon.clone(), socket.clone()));
+    daemon.spawn(send_outbox(daemon.clone(), socket.clone()));
     daemon.spawn(send(daemon.clone(), socket));
     Ok(())
 }
@@ -159,6 +173,7 @@
         return;
     }
     daemon.add_peer(&message.host, sender);
+    let is_new_run = daemon.record_incarnation(&message.host, message.incarnation);
     let now = daemon.clock.now();
     match message.content {
         Content::Load(load) => apply_load(daemon, &mut core, now, &message.host, load),
@@ -170,9 +185,21 @@
                 .map(|age| Duration::from_millis(age.into()));
             core.record_peer_configuration(now, &message.host, notice.version, age);
         }
+        Content::Origins(notices) => {
+            for notice in notices {
+                core.receive_origin(now, notice);
+            }
+        }
+        Content::OriginQuestion(key) => {
+            let origin = core.origin(now, key).cloned();
+            daemon.answer_origin_question(sender, key, origin);
+        }
     }
     drop(core);
     daemon.process_core_output();
+    if is_new_run {
+        daemon.send_held_origins(&message.host, sender);
+    }
 }
 
 fn apply_load(
@@ -323,7 +350,20 @@
     loads.collect()
 }
 
+async fn send_outbox(daemon: Rc<Daemon>, socket: UdpSocket) {
+    while let Ok(Outgoing { to, content }) = daemon.outbox.1.recv().await {
+        send_to(&daemon, &socket, &to, content).await;
+    }
+}
+
 async fn broadcast(daemon: &Rc<Daemon>, socket: &UdpSocket, content: Content) {
+    let peers = daemon.peers.borrow();
+    let to: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
+    drop(peers);
+    send_to(daemon, socket, &to, content).await;
+}
+
+async fn send_to(daemon: &Rc<Daemon>, socket: &UdpSocket, to: &[SocketAddr], content: Content) {
     let message = Message {
         format: FORMAT,
         host: daemon.settings.host.clone(),
@@ -346,9 +386,8 @@
             return;
         }
     };
-    let peers = daemon.peers.borrow().clone();
-    for peer in peers {
+    for address in to {
         // A failure to send is handled like a lost datagram.
-        let _ = socket.send_to(&bytes, peer.address).await;
+        let _ = socket.send_to(&bytes, address).await;
     }
 }
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -49,6 +49,16 @@
                 counter!("chervilspool_retries_total", "service" => service.clone())
                     .increment(u64::from(*retries));
             }
+            LogEvent::StreamBegun {
+                service,
+                build,
+                is_resumed,
+            } => {
+                let kind = if *is_resumed { "resumed" } else { "begun" };
+                counter!("chervilspool_streams_total", "service" => service.clone(),
+                    "build" => build.clone(), "kind" => kind)
+                .increment(1);
+            }
             LogEvent::CallEnded { step, kind, .. } => {
                 counter!("chervilspool_unanswered_calls_total", "step" => *step,
                     "outcome" => *kind)
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use builds::Build;
 use quarantine::Record;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,8 +25,6 @@
 
 /// Version of the whole configuration.
 pub type ConfigurationVersion = u64;
-/// Build of a target's software, not of the weights that it has loaded.
-pub type Build = String;
 /// Number of times that the store came back from an older copy.
 pub type StoreEra = u64;
 
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::Build;
 use limits::Limits;
 use limits::Room;
 use types::HostName;
@@ -200,10 +201,16 @@
         self.targets.values()
     }
 
-    /// Targets of a service that may get a call now: healthy ones whose limit leaves room.
+    /// Targets of a service that may get a call now: healthy ones whose limit leaves room. Only
+    /// those of a build, if one is given.
     #[must_use]
-    pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&TargetState> {
-        let mut usable = self.healthy(service, now);
+    pub fn usable(
+        &self,
+        service: &ServiceName,
+        build: Option<&Build>,
+        now: Instant,
+    ) -> Vec<&TargetState> {
+        let mut usable = self.healthy(service, build, now);
         usable.retain(|state| self.has_room(now, state.key));
         usable
     }
@@ -214,14 +221,20 @@
         matches!(self.limits.room(now, key), Room::Unlimited | Room::Now)
     }
 
-    /// Targets of a service that take new work. Unhealthy ones are left out unless all of their
-    /// role are unhealthy.
+    /// Targets of a service, and of a build if one is given, that take new work. Unhealthy ones are
+    /// left out unless all of their role are unhealthy.
     #[must_use]
-    pub fn healthy(&self, service: &ServiceName, now: Instant) -> Vec<&TargetState> {
-        let candidates = self
-            .targets
-            .values()
-            .filter(|state| state.entry.service == *service && !state.entry.is_draining);
+    pub fn healthy(
+        &self,
+        service: &ServiceName,
+        build: Option<&Build>,
+        now: Instant,
+    ) -> Vec<&TargetState> {
+        let candidates = self.targets.values().filter(|state| {
+            state.entry.service == *service
+                && !state.entry.is_draining
+                && build.is_none_or(|build| state.entry.build.as_ref() == Some(build))
+        });
         let (mut usable, unhealthy): (Vec<_>, Vec<_>) =
             candidates.partition(|state| state.health.is_healthy(now));
         let roles: Vec<_> = usable.iter().map(|state| state.entry.role).collect();
@@ -233,6 +246,13 @@
         usable
     }
 
+    /// Whether the store is available and some peer is heard, if there are peers, so that a change of
+    /// the list of targets would be known here.
+    #[must_use]
+    pub fn is_list_current(&self) -> bool {
+        self.store == StoreState::Available && self.peers.is_any_heard()
+    }
+
     /// Keeps targets whose entries go missing, until the grace period after the outage ends.
     pub fn set_store_unavailable(&mut self) {
         self.store = StoreState::Unavailable;
@@ -559,7 +579,7 @@
         now: Instant,
     ) -> Option<&TargetState> {
         let key = reserved.filter(|key| !self.has_room(now, *key))?;
-        let healthy = self.healthy(service, now);
+        let healthy = self.healthy(service, None, now);
         healthy.into_iter().find(|state| state.key == key)
     }
 
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -281,6 +281,8 @@
             "step" => step, "call" => call, "expected_ms" => expected_ms,
             "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
             "retries" => retries),
+        // Counted in the metrics; CS5202 has the build of each call.
+        LogEvent::StreamBegun { .. } => {}
         LogEvent::CallEnded {
             request,
             target,
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -1,5 +1,6 @@
 //! Events that are written to the log and counted in the metrics.
 
+use builds::Build;
 use limits::LimitChange;
 use quarantine::PartChange;
 use smallvec::SmallVec;
@@ -7,7 +8,6 @@
 use types::TargetName;
 
 use crate::core::RefusalCause;
-use crate::deployment::Build;
 use crate::deployment::ConfigurationSource;
 use crate::deployment::ConfigurationVersion;
 use crate::deployment::RouteName;
@@ -160,6 +160,15 @@
         /// Retries reserved in the budget of the service for the call.
         retries: u32,
     },
+    /// The first event of a resumable stream arrived, or the first one after it was resumed.
+    StreamBegun {
+        /// Name of the service.
+        service: ServiceName,
+        /// Build of the target.
+        build: Build,
+        /// It is the rest of a stream.
+        is_resumed: bool,
+    },
     /// A call ended without an answer to the caller.
     CallEnded {
         /// Request id.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -106,7 +106,14 @@
         }
     }
 
-    fn heard(&self) -> impl Iterator<Item = &HostName> {
+    /// Whether a peer is heard, or there are none.
+    #[must_use]
+    pub fn is_any_heard(&self) -> bool {
+        self.by_host.is_empty() || self.heard_count() > 0
+    }
+
+    /// Hosts of the peers that have not timed out.
+    pub fn heard(&self) -> impl Iterator<Item = &HostName> {
         let heard = self.by_host.iter().filter(|(_, peer)| peer.loads.is_some());
         heard.map(|(host, _)| host)
     }
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -82,13 +82,16 @@
     request: &PlacementRequest<'_>,
     now: Instant,
 ) -> Option<Placement> {
-    let may_transfer = request.may_transfer
-        && targets
-            .iter()
-            .any(|state| state.entry.role != Role::Prefill);
+    // A KV cache fits only engines of the same build.
+    let can_transfer = |from: &TargetState| {
+        let mut runners = targets.iter().filter(|state| {
+            state.entry.role != Role::Prefill && !request.tried_targets.contains(&state.entry.name)
+        });
+        request.may_transfer && runners.any(|state| state.entry.build == from.entry.build)
+    };
     let candidates = targets.iter().filter(|state| {
         !request.tried_targets.contains(&state.entry.name)
-            && (state.entry.role != Role::Prefill || may_transfer)
+            && (state.entry.role != Role::Prefill || can_transfer(state))
     });
     let placements = candidates.map(|state| score(state, prefix_index, spec, request, now));
     let best = placements.min_by(|(a, _), (b, _)| a.total_cmp(b));
