--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -357,9 +357,10 @@
 }
 
 async fn broadcast(daemon: &Rc<Daemon>, socket: &UdpSocket, content: Content) {
-    let peers = daemon.peers.borrow();
-    let to: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
-    drop(peers);
+    let to: Vec<SocketAddr> = {
+        let peers = daemon.peers.borrow();
+        peers.iter().map(|peer| peer.address).collect()
+    };
     send_to(daemon, socket, &to, content).await;
 }
 
