--- a/components/agent/src/daemon/runs.rs
+++ b/components/agent/src/daemon/runs.rs
@@ -240,6 +240,14 @@
         response.status,
         StatusCode::TooManyRequests | StatusCode::ServiceUnavailable
     );
+    let pause = response.headers.get("retry-after");
+    let pause = pause.and_then(|value| limits::pause_from_text(value.as_str()));
+    if let Some(pause) = pause.filter(|_| response.status == StatusCode::ServiceUnavailable) {
+        daemon.handle_event(Event::Target {
+            run,
+            event: TargetEvent::PauseAsked(pause),
+        });
+    }
     if is_refusal && named == NamedRate::Absent {
         return;
     }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -93,6 +93,8 @@
     },
     /// What the head of an answer, which follows, says about the limit of the target.
     RateNamed(NamedRate),
+    /// The target refused a request and asked for a pause.
+    PauseAsked(Duration),
     /// The engine continues the answer from the offset of an `Action::Resume`.
     Resumed {
         /// HTTP status.
--- a/components/agent/src/rate_limit.rs
+++ b/components/agent/src/rate_limit.rs
@@ -7,6 +7,8 @@
 use limits::NamedRate;
 use limits::Pace;
 use limits::Rate;
+use limits::Standing;
+use limits::Statement;
 use limits::TargetLimit;
 use types::Incarnation;
 
@@ -16,6 +18,7 @@
     incarnation: Incarnation,
     limit: Option<TargetLimit>,
     pace: Option<Pace>,
+    standing: Standing,
 }
 
 impl RateLimit {
@@ -25,9 +28,19 @@
             incarnation,
             limit: None,
             pace: None,
+            standing: Standing::default(),
         }
     }
 
+    /// Applies a refusal with which the target asks for a pause.
+    pub(crate) fn record_pause(&mut self, now: Instant, pause_ms: Duration) {
+        let statement = Statement {
+            pause_ms: Some(pause_ms),
+            ..Statement::default()
+        };
+        self.standing.record(now, &statement);
+    }
+
     /// Limit in force, if there is one.
     pub(crate) fn rate(&self) -> Option<Rate> {
         self.limit.and_then(|limit| limit.rate())
@@ -64,18 +77,22 @@
 
     /// Whether a request may be sent now.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
-        self.opens_at().is_none_or(|at| at <= now)
+        self.standing.pause_end(now).is_none() && self.opens_at().is_none_or(|at| at <= now)
     }
 
     /// Expected wait of a request behind `waiting` others.
     pub(crate) fn wait(&self, now: Instant, waiting: usize) -> Duration {
+        let pause = self.standing.pause_end(now);
+        let pause = pause.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
         let (Some(at), Some(rate)) = (self.opens_at(), self.rate()) else {
-            return Duration::ZERO;
+            return pause;
         };
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         let others_s = f64::from(waiting) / rate.requests_per_s();
         let others = Duration::try_from_secs_f64(others_s).unwrap_or(Duration::MAX);
-        at.saturating_duration_since(now).saturating_add(others)
+        at.saturating_duration_since(now)
+            .max(pause)
+            .saturating_add(others)
     }
 
     /// Records a request that is sent.
--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -54,6 +54,7 @@
                 };
                 self.head_received(now, id, head, out);
             }
+            TargetEvent::PauseAsked(pause) => self.rate_limit.record_pause(now, pause),
             TargetEvent::RateNamed(named) => self.record_named_rate(now, id, named, out),
             TargetEvent::Bytes(bytes) => {
                 if let Some(attempt) = self.by_id.get_mut(&id) {
--- a/components/agent/tests/attempts/rate_limit.rs
+++ b/components/agent/tests/attempts/rate_limit.rs
@@ -83,3 +83,31 @@
     }
     assert!(starts.len() >= 5, "{starts:?}");
 }
+
+// A target that had refused a request with a pause got the next one at once.
+#[test]
+fn target_that_asks_for_a_pause_gets_no_request_until_it_ends() {
+    let mut world = World::new(Limits {
+        concurrency: 32,
+        queue: 32,
+        ..limits()
+    });
+    world.dispatch(0, 0, LONG);
+    let run = world.pick_run(0).expect("the first attempt runs");
+    let event = TargetEvent::PauseAsked(Duration::from_secs(2));
+    world.event(Event::Target { run, event });
+    world.dispatch(0, 1, LONG);
+    world.dispatch(0, SHORT_ATTEMPT, SHORT);
+    let refused = &world.observed[SHORT_ATTEMPT];
+    assert!(
+        refused.is_reported_not_run,
+        "it cannot begin before its deadline"
+    );
+    assert_eq!(started(&world), 1);
+    world.now += Duration::from_millis(1_900);
+    world.event(Event::Tick);
+    assert_eq!(started(&world), 1);
+    world.now += Duration::from_millis(200);
+    world.event(Event::Tick);
+    assert_eq!(started(&world), 2);
+}
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -19,6 +19,8 @@
 const MIN_RETRY_AFTER_MS: f64 = 100.0;
 /// Range of the jitter added to `Retry-After`.
 const RETRY_JITTER_MS: f64 = 400.0;
+/// Part of the longest `Retry-After` over which requests are spread.
+const LONGEST_SPREAD: f64 = 0.15;
 /// Fraction of the time left that bounds `Retry-After`; a later retry could not be answered.
 const RETRY_AFTER_FRACTION: f64 = 0.33;
 
@@ -61,6 +63,17 @@
     Duration::from_secs_f64(wait_ms / 1e3).min(longest_retry_after(left))
 }
 
+/// `Retry-After` of a request that nobody takes for `wait_ms`, spread over the requests that wait for
+/// the same moment; `draw` as above.
+#[must_use]
+pub fn spread(wait_ms: Duration, longest_ms: Duration, draw: f64) -> Duration {
+    if wait_ms >= longest_ms {
+        return longest_ms.mul_f64(1.0 - LONGEST_SPREAD * draw);
+    }
+    let jitter = Duration::from_secs_f64(draw * RETRY_JITTER_MS / 1e3);
+    (wait_ms + jitter).min(longest_ms)
+}
+
 /// Longest `Retry-After` of a request with the given time left.
 #[must_use]
 pub fn longest_retry_after(left: Duration) -> Duration {
--- a/components/gateway/src/core/limits.rs
+++ b/components/gateway/src/core/limits.rs
@@ -7,6 +7,7 @@
 use limits::Notice;
 use limits::Rate;
 use limits::Room;
+use limits::Statement;
 use rand::RngExt;
 use smallvec::SmallVec;
 use types::Incarnation;
@@ -20,32 +21,72 @@
 use crate::core::decision::Ending;
 use crate::core::decision::RefusalCause;
 use crate::core::plan;
+use crate::fleet::TargetChange;
 use crate::fleet::TargetKey;
 use crate::log_event::LogEvent;
 use crate::protocol::Transfer;
 
 impl Core {
-    /// Records what the answer to a request's current call says about the limit of its target. An
-    /// answer that refuses the request does not end a limit by not naming it.
-    pub fn record_named_rate(
+    /// Records what the answer to a request's current call says of its target. An answer that
+    /// refuses the request does not end a limit by not naming it.
+    pub fn record_statement(
         &mut self,
         now: Instant,
         number: RequestNumber,
-        named: NamedRate,
+        statement: &Statement,
         is_refusal: bool,
     ) {
         let active = self.requests.get(&number);
         let Some(call) = active.and_then(|active| active.current.as_ref()) else {
             return;
         };
+        let (key, started) = (call.key, call.started);
+        self.record_standing(now, key, statement);
+        let named = statement.rate;
         if is_refusal && named == NamedRate::Absent {
             return;
         }
-        let (key, started) = (call.key, call.started);
         self.fleet.limits.record_answer(now, started, key, named);
         self.log_limit_changes();
     }
 
+    /// Records what the answer to the release of a KV cache says of the engine.
+    pub fn record_release_answer(&mut self, now: Instant, engine: &str, statement: &Statement) {
+        if let Some(key) = self.fleet.get(engine).map(|state| state.key) {
+            self.record_standing(now, key, statement);
+        }
+    }
+
+    fn record_standing(&mut self, now: Instant, key: TargetKey, statement: &Statement) {
+        if self.fleet.limits.record_statement(now, key, statement) {
+            self.leaving_reports.push(key);
+            self.log_leaving(key);
+        }
+    }
+
+    /// Applies a peer's report that a target has said that it leaves.
+    pub fn peer_reports_leaving(&mut self, now: Instant, key: TargetKey) {
+        let statement = Statement {
+            is_leaving: true,
+            ..Statement::default()
+        };
+        if self.fleet.limits.record_statement(now, key, &statement) {
+            self.log_leaving(key);
+        }
+    }
+
+    fn log_leaving(&mut self, key: TargetKey) {
+        let change = Some(TargetChange::SaidLeaving);
+        if let Some(target) = self.fleet.name_of(key) {
+            self.log_target_change(target, change);
+        }
+    }
+
+    /// Takes the targets that have said that they leave and were not reported to the peers yet.
+    pub fn take_leaving_reports(&mut self) -> Vec<TargetKey> {
+        std::mem::take(&mut self.leaving_reports)
+    }
+
     /// Applies a peer's notice about limits.
     pub fn receive_limit_notice(&mut self, now: Instant, sender: Incarnation, notice: &Notice) {
         self.fleet.limits.receive(now, sender, notice);
@@ -145,6 +186,10 @@
             .iter()
             .filter(|state| !active.tried_targets.contains(&state.entry.name));
         let limits = &self.fleet.limits;
+        let pauses = healthy
+            .iter()
+            .filter_map(|state| limits.standing(state.key).pause_end(now));
+        let paused_until = pauses.min();
         let limited = untried.filter_map(|state| {
             let rate = limits.rate(state.key)?;
             Some((rate, limits.room(now, state.key)))
@@ -152,16 +197,26 @@
         let limited: SmallVec<[(Rate, Room); 8]> = limited.collect();
         let sum: f64 = limited.iter().map(|(rate, _)| rate.requests_per_s()).sum();
         let processes = u32::try_from(self.sharing_processes(now)).unwrap_or(u32::MAX);
+        let longest = admission::longest_retry_after(active.time_left(now));
+        let draw = self.random.random::<f64>();
         let Some(own_rate) = Rate::per_second(sum / f64::from(processes)) else {
-            return plan::no_target();
+            return match paused_until {
+                Some(at) => Ending::Refuse {
+                    retry_after_ms: admission::spread(
+                        at.saturating_duration_since(now),
+                        longest,
+                        draw,
+                    ),
+                    cause: RefusalCause::Limited,
+                },
+                None => plan::no_target(),
+            };
         };
         let open_at = limited.iter().filter_map(|(_, room)| match room {
             Room::From(at) => Some(*at),
             _ => None,
         });
         let open_at = open_at.min().unwrap_or(now);
-        let longest = admission::longest_retry_after(active.time_left(now));
-        let draw = self.random.random::<f64>();
         let returns = self.returns.entry(active.service.clone()).or_default();
         let after = returns.retry_after(now, open_at, own_rate, longest, draw);
         Ending::Refuse {
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -194,13 +194,14 @@
     ) -> CallOutcome {
         let status = u16::from(response.status);
         let info = self.daemon.protocol.answer_info(status, &response.headers);
-        if !info.is_other_process {
-            let mut core = self.daemon.core.borrow_mut();
-            let now = self.daemon.clock.now();
-            core.record_named_rate(now, self.number, info.named_rate, info.is_not_run);
-            drop(core);
-            self.daemon.process_core_output();
-        }
+        let now = self.daemon.clock.now();
+        self.daemon.core.borrow_mut().record_statement(
+            now,
+            self.number,
+            &info.statement,
+            info.is_not_run,
+        );
+        self.daemon.process_core_output();
         if info.is_not_run || info.is_other_process {
             // The connection can be reused only after the whole answer was read.
             let rest = with_timeout(REFUSAL_TIMEOUT_MS, Box::pin(response.into_buffered()));
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -317,6 +317,13 @@
     let client = daemon.client(transfer.address);
     let call = async {
         if let Ok(response) = client.forward(&head, &[], false, |_, _| true).await {
+            let status = u16::from(response.status);
+            let info = daemon.protocol.answer_info(status, &response.headers);
+            let now = daemon.clock.now();
+            daemon
+                .core
+                .borrow_mut()
+                .record_release_answer(now, &transfer.source, &info.statement);
             let _ = response.into_buffered().await;
         }
     };
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -49,6 +49,8 @@
 const PREFILLS_LIMIT: usize = 12;
 /// Maximum number of unreachable targets in one message.
 const UNREACHABLE_LIMIT: usize = 8;
+/// Maximum number of leaving targets in one message.
+const LEAVING_LIMIT: usize = 64;
 /// Format version of messages; messages of other versions are ignored.
 const FORMAT: u8 = 6;
 
@@ -66,6 +68,8 @@
     Parts(Notice),
     Limits(limits::Notice),
     Configuration(ConfigurationNotice),
+    /// Targets that have said in answers to the sender that they leave.
+    Leaving(Vec<TargetKey>),
     /// Where streams began.
     Origins(Vec<builds::Notice>),
     /// Asks where a stream began.
@@ -185,6 +189,11 @@
                 .map(|age| Duration::from_millis(age.into()));
             core.record_peer_configuration(now, &message.host, notice.version, age);
         }
+        Content::Leaving(targets) => {
+            for key in targets {
+                core.peer_reports_leaving(now, key);
+            }
+        }
         Content::Origins(notices) => {
             for notice in notices {
                 core.receive_origin(now, notice);
@@ -262,6 +271,10 @@
         for notice in notices {
             broadcast(&daemon, &socket, Content::Limits(notice)).await;
         }
+        let leaving = daemon.core.borrow_mut().take_leaving_reports();
+        for targets in leaving.chunks(LEAVING_LIMIT) {
+            broadcast(&daemon, &socket, Content::Leaving(targets.to_vec())).await;
+        }
         let loads = own_loads(&daemon);
         let (prefill_reports, unreachable) = {
             let mut core = daemon.core.borrow_mut();
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -154,6 +154,8 @@
     Unreachable,
     /// The same, as a peer reports it.
     Reported,
+    /// Has said in an answer, here or to a peer, that it leaves; takes no new work.
+    SaidLeaving,
 }
 
 /// All targets and the peers that report load on them.
@@ -578,7 +580,12 @@
         reserved: Option<TargetKey>,
         now: Instant,
     ) -> Option<&TargetState> {
-        let key = reserved.filter(|key| !self.has_room(now, *key))?;
+        let standing = |key| self.limits.standing(key);
+        let key = reserved.filter(|key| {
+            !self.has_room(now, *key)
+                && !standing(*key).is_leaving()
+                && standing(*key).pause_end(now).is_none()
+        })?;
         let healthy = self.healthy(service, None, now);
         healthy.into_iter().find(|state| state.key == key)
     }
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -8,7 +8,7 @@
 
 use http_types::Response;
 use http_types::headers::Headers;
-use limits::NamedRate;
+use limits::Statement;
 use smallvec::SmallVec;
 use types::TargetName;
 
@@ -125,8 +125,8 @@
     pub is_not_run: bool,
     /// Another process than the called target listens at the address.
     pub is_other_process: bool,
-    /// Limit on the requests a second that the target names.
-    pub named_rate: NamedRate,
+    /// What the target says of itself.
+    pub statement: Statement,
 }
 
 /// Answer of an engine to a prefill.
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -18,6 +18,9 @@
 //!   reordered. A lower limit is valid at once. A higher one, or the end of a limit, counts only if
 //!   the call was made after the limit had been named last.
 //!
+//! A target also says in its answers that it leaves, or that it wants no request for a time. This
+//! holds for the process that got the answer, and needs no agreement ([`Standing`]).
+//!
 //! Where one process sees all calls of a target, as an agent does, [`TargetLimit`] alone is enough.
 //! The crate does no I/O and reads no clock.
 
@@ -28,6 +31,7 @@
 mod pace;
 mod rate;
 mod returns;
+mod standing;
 mod target_limit;
 
 pub use crate::limits::LimitChange;
@@ -41,6 +45,9 @@
 pub use crate::rate::NamedRate;
 pub use crate::rate::Rate;
 pub use crate::returns::Returns;
+pub use crate::standing::Standing;
+pub use crate::standing::Statement;
+pub use crate::standing::pause_from_text;
 pub use crate::target_limit::Revision;
 pub use crate::target_limit::TargetLimit;
 
--- a/components/limits/src/limits.rs
+++ b/components/limits/src/limits.rs
@@ -14,6 +14,9 @@
 use crate::loans::LOAN_MS;
 use crate::loans::Loans;
 use crate::loans::Member;
+use crate::standing::Standing;
+use crate::standing::Standings;
+use crate::standing::Statement;
 
 /// Most targets with a limit that are known at a time.
 const TARGETS_LIMIT: usize = 1_024;
@@ -35,6 +38,8 @@
     From(Instant),
     /// Other processes use the limit.
     Elsewhere,
+    /// It leaves.
+    Never,
 }
 
 /// Change of a target's limit, for the log and the metrics.
@@ -81,6 +86,7 @@
     pub(crate) changed: Option<Instant>,
     pub(crate) is_change_unsent: bool,
     changes: Vec<LimitChange>,
+    standings: Standings,
 }
 
 impl Limits {
@@ -97,6 +103,7 @@
             changed: None,
             is_change_unsent: false,
             changes: Vec::new(),
+            standings: Standings::default(),
         }
     }
 
@@ -106,7 +113,24 @@
         self.own
     }
 
-    /// Applies what an answer says, to a call that was made at `called_at`.
+    /// Applies what an answer says of its target apart from a limit. Returns whether the target has
+    /// said for the first time that it leaves.
+    pub fn record_statement(
+        &mut self,
+        now: Instant,
+        target: ProcessKey,
+        statement: &Statement,
+    ) -> bool {
+        self.standings.record(now, target, statement)
+    }
+
+    /// What a target has said of itself apart from a limit.
+    #[must_use]
+    pub fn standing(&self, target: ProcessKey) -> Standing {
+        self.standings.get(target)
+    }
+
+    /// Applies what an answer says of a limit, to a call that was made at `called_at`.
     pub fn record_answer(
         &mut self,
         now: Instant,
@@ -174,6 +198,13 @@
     /// Whether a target may be called now.
     #[must_use]
     pub fn room(&self, now: Instant, target: ProcessKey) -> Room {
+        let standing = self.standings.get(target);
+        if standing.is_leaving() {
+            return Room::Never;
+        }
+        if let Some(at) = standing.pause_end(now) {
+            return Room::From(at);
+        }
         let Some(entry) = self.entries.get(&target) else {
             return Room::Unlimited;
         };
@@ -250,6 +281,7 @@
     /// the limits are divided by; targets that are not `known` are gone.
     pub fn tick(&mut self, now: Instant, processes: usize, is_known: impl Fn(ProcessKey) -> bool) {
         self.processes = processes;
+        self.standings.tick(now, &is_known);
         self.members
             .retain(|_, member| now.saturating_duration_since(member.heard_at) <= HEARD_MS);
         self.entries.retain(|target, entry| {
--- a/components/standin/src/staged_engine.rs
+++ b/components/standin/src/staged_engine.rs
@@ -76,6 +76,10 @@
     pub calls: Vec<EngineCall>,
     /// Answers that named a limit, by engine.
     pub limits_named: Vec<(String, Instant)>,
+    /// First answers in which engines said that they leave.
+    pub leaving_said: Vec<EngineCall>,
+    /// Answers in which engines asked for a pause, with its length.
+    pub pauses_asked: Vec<(EngineCall, Duration)>,
     /// Requests for which an engine has accepted a prefill.
     prefilled: BTreeSet<String>,
     /// Runs by request id.
@@ -135,6 +139,14 @@
         mixed.map(|(stream, _)| stream.to_owned()).collect()
     }
 
+    /// Calls of an engine after an instant, for a time.
+    #[must_use]
+    pub fn calls_after(&self, engine: &str, from: Instant, duration: Duration) -> usize {
+        let calls = self.calls.iter().filter(|call| call.engine == engine);
+        let span = from..from + duration;
+        calls.filter(|call| span.contains(&call.at)).count()
+    }
+
     /// Records that an engine accepted a prefill; the first one of a request is no arrival.
     fn accept_prefill(&mut self, id: &str) {
         if self.prefilled.insert(id.to_owned()) {
@@ -189,6 +201,12 @@
     pub mode: Cell<EngineMode>,
     /// Limit on requests a second that it names in its answers.
     pub requests_per_s: Cell<Option<f64>>,
+    /// Whether it says in its answers that it leaves.
+    pub is_leaving: Cell<bool>,
+    /// Pause that it asks for when it rejects a request with 503.
+    pub pause: Cell<Option<Duration>>,
+    /// Number of times that it was replaced by a new process after it had left.
+    pub replacements: Cell<usize>,
     /// When a part of a prompt last crashed it.
     pub crashed_at: Cell<Option<Instant>>,
     /// Build of its software, as in its row of the store.
@@ -254,7 +272,32 @@
         head
     }
 
+    fn say_leaving(&self, head: &mut Response) {
+        if !self.is_leaving.get() {
+            return;
+        }
+        head.insert_header("server-leaving", "1");
+        let mut ledger = self.ledger.borrow_mut();
+        if !ledger
+            .leaving_said
+            .iter()
+            .any(|said| said.engine == self.name)
+        {
+            let said = self.call_now();
+            ledger.leaving_said.push(said);
+        }
+    }
+
+    fn call_now(&self) -> EngineCall {
+        EngineCall {
+            engine: self.name.clone(),
+            at: Instant::now(),
+        }
+    }
+
+    /// What it says of itself in all answers.
     fn name_limit(&self, head: &mut Response) {
+        self.say_leaving(head);
         if let Some(requests_per_s) = self.requests_per_s.get() {
             let mut ledger = self.ledger.borrow_mut();
             ledger
@@ -270,6 +313,11 @@
         head.insert_header("x-instance-id", self.name.as_str());
         head.insert_header("x-not-executed", "1");
         self.name_limit(&mut head);
+        if let Some(pause) = self.pause.get().filter(|_| status == 503) {
+            head.insert_header("retry-after", pause.as_secs_f64().to_string());
+            let asked = (self.call_now(), pause);
+            self.ledger.borrow_mut().pauses_asked.push(asked);
+        }
         // Errors are ignored, as the client may have disconnected.
         let _ = exchange.respond(head, b"").await;
     }
--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -155,6 +155,9 @@
             stage,
             mode: Cell::default(),
             requests_per_s: Cell::default(),
+            is_leaving: Cell::default(),
+            replacements: Cell::default(),
+            pause: Cell::default(),
             crashed_at: Cell::default(),
             build: RefCell::new(FIRST_BUILD.to_owned()),
             ledger: self.ledger.clone(),
@@ -206,7 +209,7 @@
         };
         let ledger = self.ledger.borrow();
         let crashes = ledger.crashes.iter().filter(|crashed| *crashed == name);
-        let born = FIRST_START_MS + crashes.count();
+        let born = FIRST_START_MS + crashes.count() + engine.replacements.get();
         let mut entry = json!({
             "service": service, "address": address, "zone": "here", "version": *engine.build.borrow(), "slots": 64,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
@@ -217,6 +220,29 @@
         self.write_entry(name, entry.to_string().as_bytes());
     }
 
+    /// Makes an engine say in its answers that it leaves, or not.
+    pub fn say_leaving(&self, name: &str, is_leaving: bool) {
+        for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
+            engine.is_leaving.set(is_leaving);
+        }
+    }
+
+    /// Replaces an engine that has said that it leaves by a new process, if it has.
+    pub fn replace_if_leaving(&self, name: &str) {
+        for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
+            if engine.is_leaving.replace(false) {
+                engine.replacements.set(engine.replacements.get() + 1);
+            }
+        }
+    }
+
+    /// Makes an engine ask for a pause when it rejects requests with 503, or not.
+    pub fn ask_for_pause(&self, name: &str, pause: Option<Duration>) {
+        for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
+            engine.pause.set(pause);
+        }
+    }
+
     /// Gives an engine another build, as after its replacement.
     pub fn set_build(&self, name: &str, build: &str) {
         for (engine, _) in self.engines.iter().filter(|(e, _)| e.name == name) {
