--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -207,9 +207,7 @@
             Stage::Prefill => (MODEL_SERVICE, Some("prefill")),
             Stage::Decode => (MODEL_SERVICE, Some("decode")),
         };
-        let ledger = self.ledger.borrow();
-        let crashes = ledger.crashes.iter().filter(|crashed| *crashed == name);
-        let born = FIRST_START_MS + crashes.count() + engine.replacements.get();
+        let born = FIRST_START_MS + engine.process();
         let mut entry = json!({
             "service": service, "address": address, "zone": "here", "version": *engine.build.borrow(), "slots": 64,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
--- a/examples/gateways/callers.rs
+++ b/examples/gateways/callers.rs
@@ -33,6 +33,10 @@
 /// Path of the request that crashes engines, and number of requests of which one is that.
 pub const DEADLY_PATH: &str = "/read/dead";
 const DEADLY_PATH_INTERVAL: usize = 60;
+/// Build of some engines; the others have the first one.
+pub const SECOND_BUILD: &str = "v2";
+/// Events that an engine sends before it breaks a stream off.
+const EVENTS_BEFORE_BREAK: u32 = 2;
 /// Path prefixes of the routes.
 const PREFIXES: [&str; 4] = ["/read/", "/order/", "/draft/", "/tag/"];
 
@@ -106,6 +110,16 @@
                 },
             };
             let duration = sent_at.elapsed();
+            if prefix == "/tag/" && matches!(answer, Answer::Missing { .. }) {
+                let resumed = TestRequest {
+                    id: &format!("{id}r"),
+                    resumes: Some((&id, EVENTS_BEFORE_BREAK)),
+                    ..sent.clone()
+                };
+                // The ledger shows whether it went on at another build.
+                let next = (count as usize + self.number) % clients.len();
+                let _ = send(&clients[next], &resumed).await;
+            }
             self.verdict
                 .borrow_mut()
                 .record_answer(&id, prefix, sent_at, duration, answer);
--- a/examples/gateways/faults.rs
+++ b/examples/gateways/faults.rs
@@ -41,6 +41,8 @@
 /// Requests a second that an engine takes, and for how long.
 const LIMIT_PER_S: f64 = 2.0;
 const LIMIT_DURATION_MS: Duration = Duration::from_secs(8);
+/// Pause that engines ask for when they reject requests.
+const PAUSE_ASKED_MS: Duration = Duration::from_millis(1_200);
 /// Number of copies of the store, one for each fault, of which the oldest is used.
 const COPIES: usize = 5;
 
@@ -147,9 +149,15 @@
                 ("configuration changed without history", None)
             }
             9 if !leaving.contains(&&engine) => {
-                testbed.register(&engine, "draining");
+                // Every second one says so in its answers, too, and its entry stays as it is.
+                let is_said = verdict.borrow().leaving_count().is_multiple_of(2);
+                if is_said {
+                    testbed.say_leaving(&engine, true);
+                } else {
+                    testbed.register(&engine, "draining");
+                }
                 duration = Duration::from_millis(random.random_range(LEAVING_DURATION_MS));
-                verdict.borrow_mut().record_leaving(&engine, now);
+                verdict.borrow_mut().record_leaving(&engine, now, is_said);
                 if random.random_bool(NO_FAULT_PROBABILITY) {
                     no_fault_until = now + NO_FAULT_MS;
                 }
@@ -292,6 +300,9 @@
         EngineMode::Fails,
     ];
     let mode = modes[random.random_range(0..modes.len())];
+    for (engine, _) in &testbed.engines {
+        testbed.ask_for_pause(&engine.name, Some(PAUSE_ASKED_MS));
+    }
     let stages = [Stage::Plain, Stage::Prefill, Stage::Decode];
     let stage = stages[random.random_range(0..stages.len())];
     testbed.set_mode(Some(stage), mode);
@@ -337,6 +348,7 @@
             Repair::Store => testbed.store.set_mode(StoreMode::Healthy),
             Repair::Engines => testbed.set_mode(None, EngineMode::Healthy),
             Repair::Register(engine) => {
+                testbed.replace_if_leaving(&engine);
                 testbed.register(&engine, "ready");
                 verdict.borrow_mut().record_return(&engine, Instant::now());
             }
--- a/examples/gateways/main.rs
+++ b/examples/gateways/main.rs
@@ -108,6 +108,9 @@
             executor.spawn(caller.run())
         })
         .collect();
+    for engine in ["read-2", "write-2"] {
+        testbed.set_build(engine, callers::SECOND_BUILD);
+    }
     testbed.ledger.borrow_mut().deadly_part = Some(callers::DEADLY_PART.to_owned());
     testbed.ledger.borrow_mut().deadly_path = Some(callers::DEADLY_PATH.to_owned());
     let until = Instant::now() + Duration::from_secs(options.seconds);
--- a/examples/gateways/verdict.rs
+++ b/examples/gateways/verdict.rs
@@ -24,6 +24,8 @@
 /// limit has to hold; required by the users.
 const LIMIT_SPAN_MS: Duration = Duration::from_secs(4);
 const LIMIT_CONTACT_MS: Duration = Duration::from_secs(3);
+/// Time after which a pause that an engine asks for has to hold; required by the users.
+const PAUSE_CONTACT_MS: Duration = Duration::from_millis(500);
 /// Most engines that a part of prompts may crash: five, after which the users allow three further
 /// requests with it.
 const CRASH_LIMIT: usize = 8;
@@ -58,6 +60,23 @@
     from: Instant,
     /// `None` while the engine is leaving.
     until: Option<Instant>,
+    /// It says so in its answers, and its entry does not.
+    is_said: bool,
+}
+
+impl Leaving {
+    /// Describes calls of an engine after it has said for long that it leaves. A gateway that is
+    /// started or was paused may make one call before it is told.
+    fn violation(&self, ledger: &Ledger, disturbances: usize) -> Option<String> {
+        let mut said = ledger.leaving_said.iter();
+        let said = said.find(|said| said.engine == self.engine && said.at >= self.from)?;
+        let from = said.at + NEW_WORK_LIMIT_MS;
+        let until = self.until.unwrap_or(from).max(from);
+        let calls = ledger.calls_after(said, from, until.saturating_duration_since(from));
+        let engine = &self.engine;
+        (self.is_said && calls > disturbances)
+            .then(|| format!("{engine}: {calls} calls long after it said that it leaves"))
+    }
 }
 
 /// Observations and violations of a run.
@@ -104,6 +123,23 @@
     }
 }
 
+/// Describes pauses that engines had asked for and in which they rejected more calls than allowed.
+/// A gateway that was not asked may call an engine that has room again.
+fn pause_violations(ledger: &Ledger, allowed: usize) -> Vec<String> {
+    let violations = ledger.pauses_asked.iter().filter_map(|(asked, pause)| {
+        let span = asked.at + PAUSE_CONTACT_MS..asked.at + *pause;
+        let rejected = ledger.pauses_asked.iter().filter(|(other, _)| {
+            other.engine == asked.engine
+                && other.process == asked.process
+                && span.contains(&other.at)
+        });
+        let calls = rejected.count();
+        let engine = &asked.engine;
+        (calls > allowed).then(|| format!("{engine}: {calls} calls in a pause, {allowed} allowed"))
+    });
+    violations.collect()
+}
+
 fn to_f64(count: usize) -> f64 {
     u32::try_from(count).map_or(f64::MAX, f64::from)
 }
@@ -146,14 +182,21 @@
     }
 
     /// Records when an engine was registered as leaving.
-    pub fn record_leaving(&mut self, engine: &str, from: Instant) {
+    pub fn record_leaving(&mut self, engine: &str, from: Instant, is_said: bool) {
         self.leaving.push(Leaving {
             engine: engine.to_owned(),
             from,
             until: None,
+            is_said,
         });
     }
 
+    /// Number of times that engines have left.
+    #[must_use]
+    pub fn leaving_count(&self) -> usize {
+        self.leaving.len()
+    }
+
     /// Records a period in which a gateway was not running or could not read the store.
     pub fn record_disturbance(&mut self, from: Instant, to: Instant) {
         self.disturbances.push((from, to));
@@ -223,6 +266,7 @@
             for run in runs {
                 let leaving = self.leaving.iter().find(|leaving| {
                     leaving.engine == run.engine
+                        && !leaving.is_said
                         && run.started_at > leaving.from + NEW_WORK_LIMIT_MS
                         && leaving.until.is_none_or(|until| run.started_at < until)
                 });
@@ -256,6 +300,17 @@
             let during = during.filter(|(from, to)| *from < limit.until && *to > limit.from);
             violations.extend(limit.violation(&ledger, during.count()));
         }
+        for leaving in &self.leaving {
+            let until = leaving.until.unwrap_or(recovered_at);
+            let during = self.disturbances.iter();
+            let during = during.filter(|(from, to)| *from < until && *to > leaving.from);
+            violations.extend(leaving.violation(&ledger, during.count()));
+        }
+        // Each gateway is asked for a pause by itself, and one that was started again has forgotten.
+        let allowed = testbed.gateways.len() + self.disturbances.len();
+        violations.extend(pause_violations(&ledger, allowed));
+        let mixed = ledger.streams_across_builds().into_iter();
+        violations.extend(mixed.map(|stream| format!("{stream}: went on at another build")));
         let crashes = ledger.crashes.len();
         if ledger.request_crashes > REQUEST_CRASH_LIMIT {
             let crashes = ledger.request_crashes;
