--- a/components/gateway/src/core/limits.rs
+++ b/components/gateway/src/core/limits.rs
@@ -20,6 +20,7 @@
 use crate::core::active::ActiveRequest;
 use crate::core::decision::Ending;
 use crate::core::decision::RefusalCause;
+use crate::core::millis;
 use crate::core::plan;
 use crate::fleet::TargetChange;
 use crate::fleet::TargetKey;
@@ -58,10 +59,29 @@
     }
 
     fn record_standing(&mut self, now: Instant, key: TargetKey, statement: &Statement) {
+        let before = self.fleet.limits.standing(key).pause_end(now);
         if self.fleet.limits.record_statement(now, key, statement) {
             self.leaving_reports.push(key);
             self.log_leaving(key);
         }
+        let pause_end = self.fleet.limits.standing(key).pause_end(now);
+        if let Some(end) = pause_end.filter(|_| before.is_none())
+            && let Some(target) = self.fleet.name_of(key)
+        {
+            self.log_events.push(LogEvent::PauseBegun {
+                target,
+                pause_ms: millis(end.saturating_duration_since(now)),
+            });
+        }
+    }
+
+    /// Number of targets that have asked this process for a pause which has not ended.
+    #[must_use]
+    pub fn paused_count(&self, now: Instant) -> usize {
+        let limits = &self.fleet.limits;
+        let is_paused = |key| limits.standing(key).pause_end(now).is_some();
+        let targets = self.fleet.targets();
+        targets.filter(|state| is_paused(state.key)).count()
     }
 
     /// Applies a peer's report that a target has said that it leaves.
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -127,6 +127,7 @@
         gauge!("chervilspool_quarantined_parts").set(count(quarantined));
         gauge!("chervilspool_suspect_parts").set(count(suspect));
         gauge!("chervilspool_limited_targets").set(count(core.fleet.limits.limited_count()));
+        gauge!("chervilspool_paused_targets").set(count(core.paused_count(now)));
         let version = core.configuration().map_or(0, |current| current.version);
         #[allow(clippy::cast_precision_loss)] // exact up to 2^53
         gauge!("chervilspool_configuration_version").set(version as f64);
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -281,6 +281,10 @@
             "step" => step, "call" => call, "expected_ms" => expected_ms,
             "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
             "retries" => retries),
+        LogEvent::PauseBegun { target, pause_ms } => {
+            info!(logger, "target asked for a pause";
+                "code" => "CS5112", "target" => truncated(target), "pause_ms" => pause_ms);
+        }
         // Counted in the metrics; CS5202 has the build of each call.
         LogEvent::StreamBegun { .. } => {}
         LogEvent::CallEnded {
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -112,6 +112,13 @@
         /// Limit before and now.
         change: LimitChange,
     },
+    /// A target refused a request and asked for a pause. It ends by itself.
+    PauseBegun {
+        /// Name of the target.
+        target: TargetName,
+        /// Length of the pause.
+        pause_ms: u64,
+    },
     /// A request was routed.
     RequestRouted {
         /// Request id.
