--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -216,7 +216,9 @@
             DeploymentUpdate::Configuration(configuration, source) => {
                 self.apply_configuration(now, configuration, source);
             }
-            DeploymentUpdate::ConfigurationChecked => self.view.check(now),
+            DeploymentUpdate::ConfigurationChecked { age_ms } => {
+                self.view.check(now.checked_sub(age_ms).unwrap_or(now));
+            }
             DeploymentUpdate::TargetWritten(entry) => {
                 self.record_build(&entry);
                 let name = entry.name.clone();
--- a/components/gateway/src/deployment.rs
+++ b/components/gateway/src/deployment.rs
@@ -208,8 +208,11 @@
 pub enum DeploymentUpdate {
     /// The whole configuration was read.
     Configuration(Rc<Configuration>, ConfigurationSource),
-    /// The store has just answered that it has no other configuration than those passed on before.
-    ConfigurationChecked,
+    /// The store had no other configuration than those passed on before.
+    ConfigurationChecked {
+        /// Time since it was asked; the answer may have been on its way for long.
+        age_ms: Duration,
+    },
     /// A target's entry was written.
     TargetWritten(TargetEntry),
     /// A target's entry was removed or became unreadable.
