--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -429,9 +429,12 @@
     store: Store,
     entry: Arc<Mutex<Option<Value>>>,
     is_over: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Connections,
 }
 
+/// Open connections by the address of their peer.
+type Connections = Arc<Mutex<BTreeMap<SocketAddr, TcpStream>>>;
+
 impl Engine {
     /// Starts an engine. `serve` gets the requests that are meant for it; an error closes the
     /// connection.
@@ -461,12 +464,16 @@
                     return;
                 }
                 let Ok(stream) = stream else { return };
-                if let Ok(copy) = stream.try_clone() {
-                    connections.lock().unwrap().push(copy);
-                }
+                let (Ok(copy), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+                    continue;
+                };
+                connections.lock().unwrap().insert(peer, copy);
                 let (own_id, serve) = (own_id.clone(), serve.clone());
+                let connections = connections.clone();
                 thread::spawn(move || {
-                    let _ = serve_connection(&own_id, stream, &*serve);
+                    let mut stream = stream;
+                    let _ = serve_connection(&own_id, &mut stream, &*serve);
+                    connections.lock().unwrap().remove(&peer);
                 });
             }
         });
@@ -503,20 +510,20 @@
         self.is_over.store(true, Ordering::SeqCst);
         // Wakes the thread that accepts, which closes the listener.
         let _ = TcpStream::connect(self.address);
-        for stream in self.connections.lock().unwrap().drain(..) {
+        for stream in std::mem::take(&mut *self.connections.lock().unwrap()).values() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
     }
 }
 
-fn serve_connection(id: &str, mut stream: TcpStream, serve: &Serve) -> io::Result<()> {
+fn serve_connection(id: &str, stream: &mut TcpStream, serve: &Serve) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut rest = Vec::new();
     loop {
-        let head = read_head(&mut stream, &mut rest)?;
+        let head = read_head(stream, &mut rest)?;
         let length: usize = head.get("content-length").parse().unwrap_or(0);
         while rest.len() < length {
-            more(&mut stream, &mut rest)?;
+            more(stream, &mut rest)?;
         }
         let body = rest.drain(..length).collect();
         let request = Request { head, body };
@@ -530,10 +537,15 @@
             stream.write_all(answer.as_bytes())?;
             continue;
         }
-        serve(&request, &mut stream)?;
+        serve(&request, stream)?;
     }
 }
 
+/// Lets the connection be reset when it is closed, as by the network.
+pub fn reset_on_close(stream: &TcpStream) {
+    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
+
 /// Whole answer of an engine.
 pub fn answer(request: &Request, body: &str) -> String {
     let id = request.id();
