--- a/review/kit/src/bin/midstream.rs
+++ b/review/kit/src/bin/midstream.rs
@@ -29,7 +29,7 @@
 use review::engine_properties;
 use review::give_up;
 use review::has_trouble;
-use review::reset_on_close;
+use review::reset;
 use review::stream_head;
 use serde_json::json;
 
@@ -202,7 +202,7 @@
                 continue;
             }
             record.write(format!("{id}: its connection is reset after event {number}"));
-            reset_on_close(stream);
+            reset(stream);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
     }
--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -432,8 +432,8 @@
     connections: Connections,
 }
 
-/// Open connections by the address of their peer.
-type Connections = Arc<Mutex<BTreeMap<SocketAddr, TcpStream>>>;
+/// Open connections by the address of their peer, with the id of the request in progress.
+type Connections = Arc<Mutex<BTreeMap<SocketAddr, (TcpStream, String)>>>;
 
 impl Engine {
     /// Starts an engine. `serve` gets the requests that are meant for it; an error closes the
@@ -467,12 +467,17 @@
                 let (Ok(copy), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
                     continue;
                 };
-                connections.lock().unwrap().insert(peer, copy);
+                connections.lock().unwrap().insert(peer, (copy, String::new()));
                 let (own_id, serve) = (own_id.clone(), serve.clone());
                 let connections = connections.clone();
                 thread::spawn(move || {
                     let mut stream = stream;
-                    let _ = serve_connection(&own_id, &mut stream, &*serve);
+                    let set_current = |id: &str| {
+                        if let Some((_, current)) = connections.lock().unwrap().get_mut(&peer) {
+                            id.clone_into(current);
+                        }
+                    };
+                    let _ = serve_connection(&own_id, &mut stream, &*serve, set_current);
                     connections.lock().unwrap().remove(&peer);
                 });
             }
@@ -510,13 +515,27 @@
         self.is_over.store(true, Ordering::SeqCst);
         // Wakes the thread that accepts, which closes the listener.
         let _ = TcpStream::connect(self.address);
-        for stream in std::mem::take(&mut *self.connections.lock().unwrap()).values() {
+        for (stream, _) in std::mem::take(&mut *self.connections.lock().unwrap()).values() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
     }
+
+    /// Resets connections as the network does: those with a request in progress that is chosen.
+    pub fn reset(&self, is_chosen: &mut dyn FnMut(&str) -> bool) {
+        for (stream, id) in self.connections.lock().unwrap().values() {
+            if !id.is_empty() && is_chosen(id) {
+                reset(stream);
+            }
+        }
+    }
 }
 
-fn serve_connection(id: &str, stream: &mut TcpStream, serve: &Serve) -> io::Result<()> {
+fn serve_connection(
+    id: &str,
+    stream: &mut TcpStream,
+    serve: &Serve,
+    set_current: impl Fn(&str),
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut rest = Vec::new();
     loop {
@@ -537,13 +556,15 @@
             stream.write_all(answer.as_bytes())?;
             continue;
         }
+        set_current(request.id());
         serve(&request, stream)?;
+        set_current("");
     }
 }
 
-/// Lets the connection be reset when it is closed, as by the network.
-pub fn reset_on_close(stream: &TcpStream) {
-    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+/// Resets a connection, as the network does.
+pub fn reset(stream: &TcpStream) {
+    let _ = rustix::net::connect_unspec(stream);
 }
 
 /// Whole answer of an engine.
