--- a/review/kit/src/bin/blame.rs
+++ b/review/kit/src/bin/blame.rs
@@ -63,7 +63,10 @@
         thread::sleep(Duration::from_millis(90));
         let parts: Vec<&str> = request.head.get("x-prompt-prefix").split(',').collect();
         let (_, shared) = parts.split_last().unwrap_or((&"", &[]));
-        if shared.iter().any(|part| part.split(':').next() == Some(DEADLY_PART)) {
+        if shared
+            .iter()
+            .any(|part| part.split(':').next() == Some(DEADLY_PART))
+        {
             record.write(format!("{}: {own} crashes", request.id()));
             has_crashed.store(true, Ordering::SeqCst);
             thread::sleep(Duration::from_secs(1));
@@ -84,11 +87,15 @@
         "POST /consulta/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\n\
          X-Token-Counts: 8000,175\r\nX-Prompt-Prefix: 5c1e:5000,{middle}{:x}:3000\r\n\
          X-Deadline-Ms: 8000\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{id}",
-        id.bytes().fold(7_u64, |sum, byte| sum * 31 + u64::from(byte)) & 0xff_ffff_ffff,
+        id.bytes()
+            .fold(7_u64, |sum, byte| sum * 31 + u64::from(byte))
+            & 0xff_ffff_ffff,
         id.len()
     );
     let got = call(address, request.as_bytes(), Duration::from_secs(8));
-    got.map_or((0, false), |got| (got.status, got.status == 200 && !got.body.is_empty()))
+    got.map_or((0, false), |got| {
+        (got.status, got.status == 200 && !got.body.is_empty())
+    })
 }
 
 fn main() {
@@ -126,19 +133,21 @@
     let started = Instant::now();
     // Crashed engines come back under a new id; the entry goes after three heartbeats.
     {
-        let (engines, last_crash, record) = (engines.clone(), last_crash.clone(), record.clone());
+        let (all, last_crash, record) = (engines.clone(), last_crash.clone(), record.clone());
         thread::spawn(move || {
             let mut next = ENGINES;
             loop {
                 thread::sleep(Duration::from_millis(2));
-                let mut engines = engines.lock().unwrap();
-                let crashed = engines.iter().position(|(_, flag)| flag.load(Ordering::SeqCst));
+                let mut engines = all.lock().unwrap();
+                let crashed = engines
+                    .iter()
+                    .position(|(_, flag)| flag.load(Ordering::SeqCst));
                 let Some(at) = crashed else { continue };
                 let (crashed, _) = engines.remove(at);
                 crashed.exit();
                 *last_crash.lock().unwrap() = Some(Instant::now());
-                let (list, record) = (engines_of(&engines), record.clone());
-                record.write(format!("{} engines are left: {list}", engines.len()));
+                let record = record.clone();
+                record.write(format!("{} engines are left", engines.len()));
                 drop(engines);
                 next += 1;
                 thread::spawn(move || {
@@ -146,18 +155,17 @@
                     crashed.remove_entry();
                 });
                 thread::spawn({
-                    let (engines, record) = (ENGINES_BACK.get().unwrap().clone(), record);
+                    let (all, record) = (all.clone(), record);
                     move || {
                         thread::sleep(DOWN);
                         let flag = Arc::new(AtomicBool::new(false));
                         let back = engine(store, &format!("i-{next}"), &record, flag.clone());
-                        engines.lock().unwrap().push((back, flag));
+                        all.lock().unwrap().push((back, flag));
                     }
                 });
             }
         });
     }
-    let _ = ENGINES_BACK.set(engines.clone());
     let mut senders = Vec::new();
     for (at, rate) in STREAMS_PER_S.into_iter().enumerate() {
         let (address, sent, record) = (addresses[at], sent.clone(), record.clone());
@@ -189,7 +197,11 @@
             while started.elapsed() < LENGTH {
                 number += 1;
                 let id = format!("d-{number}");
-                let (status, _) = send(addresses[number % addresses.len()], &id, &format!("{DEADLY_PART}:300,"));
+                let (status, _) = send(
+                    addresses[number % addresses.len()],
+                    &id,
+                    &format!("{DEADLY_PART}:300,"),
+                );
                 record.write(format!("{id}: with the deadly part, status {status}"));
                 thread::sleep(DEADLY_GAP);
             }
@@ -209,7 +221,9 @@
         for (engine, _) in engines.lock().unwrap().iter() {
             engine.reset(&mut is_chosen);
         }
-        record.write(format!("the network has reset 11 of 20 of the {turn} connections of front-0"));
+        record.write(format!(
+            "the network has reset 11 of 20 of the {turn} connections of front-0"
+        ));
     }
     for sender in senders {
         let _ = sender.join();
@@ -217,12 +231,22 @@
     drop(gateways);
     drop(folder);
     let (sent, last_crash) = (sent.lock().unwrap(), *last_crash.lock().unwrap());
-    let from = last_crash.map_or(started, |at| at + CONTACT * 2).max(started + RESET_AT + CONTACT);
+    let from = last_crash
+        .map_or(started, |at| at + CONTACT * 2)
+        .max(started + RESET_AT + CONTACT);
     let share = |requests: Vec<&Sent>| {
         let begun = requests.iter().filter(|(_, _, begun)| *begun).count();
-        (begun, requests.len(), begun as f64 / requests.len().max(1) as f64)
+        (
+            begun,
+            requests.len(),
+            begun as f64 / requests.len().max(1) as f64,
+        )
     };
-    let before = share(sent.iter().filter(|(_, at, _)| *at < started + DEADLY_FROM).collect());
+    let before = share(
+        sent.iter()
+            .filter(|(_, at, _)| *at < started + DEADLY_FROM)
+            .collect(),
+    );
     let after = share(sent.iter().filter(|(_, at, _)| *at >= from).collect());
     record.write(format!(
         "sound requests that began at the first attempt: {} of {} before the first crash, {} of {} \
@@ -234,11 +258,3 @@
     }
     end(&record, after.2 < before.2 / 2.0);
 }
-
-static ENGINES_BACK: std::sync::OnceLock<Arc<Mutex<Vec<(Engine, Arc<AtomicBool>)>>>> =
-    std::sync::OnceLock::new();
-
-fn engines_of(engines: &[(Engine, Arc<AtomicBool>)]) -> String {
-    let ids: Vec<&str> = engines.iter().map(|(engine, _)| engine.id.as_str()).collect();
-    ids.join(" ")
-}
--- a/review/kit/src/bin/builds.rs
+++ b/review/kit/src/bin/builds.rs
@@ -56,9 +56,14 @@
     let serve = move |request: &Request, stream: &mut TcpStream| {
         let after: u32 = request.head.get("last-event-id").parse().unwrap_or(0);
         let counts = request.head.get("x-token-counts");
-        let tokens: f64 = counts.split(',').next().and_then(|n| n.parse().ok()).unwrap_or(0.0);
+        let tokens: f64 = counts
+            .split(',')
+            .next()
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0.0);
         let pairs = tokens * tokens / 2.0;
-        let steps = (tokens / 512.0).ceil() * (4.55 + 0.181 * running.load(Ordering::SeqCst) as f64);
+        let steps =
+            (tokens / 512.0).ceil() * (4.55 + 0.181 * running.load(Ordering::SeqCst) as f64);
         let prefill_ms = (tokens / 61.4 + pairs / 1e6 * 0.525) * 2.0 + steps;
         {
             let _turn = reading.lock().unwrap();
@@ -67,10 +72,16 @@
         thread::sleep(Duration::from_millis(90));
         running.fetch_add(1, Ordering::SeqCst);
         let result = (|| {
-            record.write(format!("{}: {own} ({version}) begins after event {after}", request.id()));
+            record.write(format!(
+                "{}: {own} ({version}) begins after event {after}",
+                request.id()
+            ));
             stream.write_all(stream_head(request).as_bytes())?;
             for number in after + 1..=EVENTS {
-                let event = format!("id: {number}\ndata: {} {number} {version} {own}\n\n", request.id());
+                let event = format!(
+                    "id: {number}\ndata: {} {number} {version} {own}\n\n",
+                    request.id()
+                );
                 stream.write_all(chunk(&event).as_bytes())?;
                 let step_ms = 7.0 * (4.55 + 0.181 * running.load(Ordering::SeqCst) as f64);
                 thread::sleep(Duration::from_secs_f64(step_ms / 1e3));
@@ -153,7 +164,9 @@
     thread::sleep(CALM);
     let mut new = Vec::new();
     if has_trouble() {
-        let groups = RELEASES.iter().flat_map(|release| old[release.clone()].chunks(AT_ONCE));
+        let groups = RELEASES
+            .iter()
+            .flat_map(|release| old[release.clone()].chunks(AT_ONCE));
         for group in groups {
             for old in group {
                 let id = old.id.replace("old", "new");
@@ -177,10 +190,15 @@
     drop(gateways);
     drop(folder);
     let versions = versions.lock().unwrap();
-    let mixed: Vec<&String> =
-        versions.iter().filter(|(_, seen)| seen.len() > 1).map(|(id, _)| id).collect();
+    let mixed: Vec<&String> = versions
+        .iter()
+        .filter(|(_, seen)| seen.len() > 1)
+        .map(|(id, _)| id)
+        .collect();
     record.write(format!(
-        "{} answers, {} with events of two versions: {mixed:?}", versions.len(), mixed.len()
+        "{} answers, {} with events of two versions: {mixed:?}",
+        versions.len(),
+        mixed.len()
     ));
     end(&record, mixed.len() > ALLOWED);
 }
--- a/review/kit/src/bin/endless.rs
+++ b/review/kit/src/bin/endless.rs
@@ -67,7 +67,12 @@
             thread::sleep(Duration::from_millis(15));
             stream.write_all(answer(request, &"estado ".repeat(114)).as_bytes())
         };
-        engines.push(Engine::start(store, &format!("mesa-{number}"), entry, Arc::new(serve)));
+        engines.push(Engine::start(
+            store,
+            &format!("mesa-{number}"),
+            entry,
+            Arc::new(serve),
+        ));
     }
     for number in 0..3 {
         let entry = json!({ "service": "modelos", "version": "1", "slots": 64, "stage": "decode" });
@@ -76,7 +81,10 @@
             thread::sleep(Duration::from_millis(90));
             stream.write_all(stream_head(request).as_bytes())?;
             if spoiled.swap(false, Ordering::SeqCst) {
-                record.write(format!("{}: bytes without end from modelos-{number}", request.id()));
+                record.write(format!(
+                    "{}: bytes without end from modelos-{number}",
+                    request.id()
+                ));
                 let bytes = chunk("data: xxxxxxxxxxxxxxxxxxxxxxxx\n\n").repeat(2_000);
                 let mut sent = 0_u64;
                 let result = loop {
@@ -85,7 +93,10 @@
                         Err(error) => break error,
                     }
                 };
-                record.write(format!("{}: the connection was closed after {sent} bytes", request.id()));
+                record.write(format!(
+                    "{}: the connection was closed after {sent} bytes",
+                    request.id()
+                ));
                 return Err(result);
             }
             for event in 1..=25 {
@@ -95,7 +106,12 @@
             }
             stream.write_all(b"0\r\n\r\n")
         };
-        engines.push(Engine::start(store, &format!("modelos-{number}"), entry, Arc::new(serve)));
+        engines.push(Engine::start(
+            store,
+            &format!("modelos-{number}"),
+            entry,
+            Arc::new(serve),
+        ));
     }
     let gateways: Vec<Gateway> = (0..GATEWAYS)
         .map(|number| Gateway::start(&folder.0, number, store).expect("the gateway starts"))
@@ -126,9 +142,15 @@
                     );
                     let sent = Instant::now();
                     let got = call(clients_address, request.as_bytes(), LOOKUP_DEADLINE);
-                    let took = got.as_ref().ok().filter(|got| got.is_complete).map(|_| sent.elapsed());
+                    let took = got
+                        .as_ref()
+                        .ok()
+                        .filter(|got| got.is_complete)
+                        .map(|_| sent.elapsed());
                     let status = got.map_or(0, |got| got.status);
-                    record.write(format!("{id}: gateway {at}, status {status}, answered after {took:?}"));
+                    record.write(format!(
+                        "{id}: gateway {at}, status {status}, answered after {took:?}"
+                    ));
                     lookups.lock().unwrap().push((at, sent, took));
                     thread::sleep(Duration::from_millis(400).saturating_sub(sent.elapsed()));
                 }
@@ -149,7 +171,12 @@
                     );
                     let got = call(clients_address, request.as_bytes(), STREAM_DEADLINE);
                     let text = got.map_or("no answer".to_owned(), |got| {
-                        format!("status {}, {} bytes, complete {}", got.status, got.body.len(), got.is_complete)
+                        format!(
+                            "status {}, {} bytes, complete {}",
+                            got.status,
+                            got.body.len(),
+                            got.is_complete
+                        )
                     });
                     record.write(format!("{id}: gateway {at}, {text}"));
                 }
@@ -164,7 +191,10 @@
         for gateway in &gateways {
             if !gateway.is_ready() {
                 silent += 1;
-                record.write(format!("{}: no answer to GET /ready within 1 s", gateway.name));
+                record.write(format!(
+                    "{}: no answer to GET /ready within 1 s",
+                    gateway.name
+                ));
             }
         }
     }
@@ -175,7 +205,9 @@
     drop(folder);
     let lookups = lookups.lock().unwrap();
     let after = |limit: Duration| {
-        let unanswered = lookups.iter().filter(|(_, _, took)| took.is_none_or(|took| took > limit));
+        let unanswered = lookups
+            .iter()
+            .filter(|(_, _, took)| took.is_none_or(|took| took > limit));
         unanswered.count()
     };
     let (unanswered, late) = (after(LOOKUP_TIMEOUT), after(LOOKUP_TIMEOUT + LATE));
--- a/review/kit/src/bin/midstream.rs
+++ b/review/kit/src/bin/midstream.rs
@@ -71,16 +71,32 @@
     let shared: Arc<Shared> = Arc::default();
     let mut engines = Vec::new();
     for number in 0..2 {
-        let entry = json!({ "service": "modelos", "version": "7.1", "slots": 64, "stage": "prefill" });
+        let entry =
+            json!({ "service": "modelos", "version": "7.1", "slots": 64, "stage": "prefill" });
         let (shared, record) = (shared.clone(), record.clone());
-        let serve = move |request: &Request, stream: &mut TcpStream| prefill(&shared, &record, request, stream);
-        engines.push(Engine::start(store, &format!("lee-{number}"), entry, Arc::new(serve)));
+        let serve = move |request: &Request, stream: &mut TcpStream| {
+            prefill(&shared, &record, request, stream)
+        };
+        engines.push(Engine::start(
+            store,
+            &format!("lee-{number}"),
+            entry,
+            Arc::new(serve),
+        ));
     }
     for number in 0..4 {
-        let entry = json!({ "service": "modelos", "version": "7.1", "slots": 64, "stage": "decode" });
+        let entry =
+            json!({ "service": "modelos", "version": "7.1", "slots": 64, "stage": "decode" });
         let (shared, record) = (shared.clone(), record.clone());
-        let serve = move |request: &Request, stream: &mut TcpStream| decode(&shared, &record, request, stream);
-        engines.push(Engine::start(store, &format!("escribe-{number}"), entry, Arc::new(serve)));
+        let serve = move |request: &Request, stream: &mut TcpStream| {
+            decode(&shared, &record, request, stream)
+        };
+        engines.push(Engine::start(
+            store,
+            &format!("escribe-{number}"),
+            entry,
+            Arc::new(serve),
+        ));
     }
     let gateways: Vec<Gateway> = (0..GATEWAYS)
         .map(|number| Gateway::start(&folder.0, number as u8, store).expect("the gateway starts"))
@@ -140,12 +156,20 @@
     drop(gateways);
     drop(folder);
     let faults = faults.lock().unwrap();
-    record.write(format!("{} clients got bytes that are no answer: {faults:?}", faults.len()));
+    record.write(format!(
+        "{} clients got bytes that are no answer: {faults:?}",
+        faults.len()
+    ));
     end(&record, !faults.is_empty());
 }
 
 /// Reads a prompt, or spoils its answer: bytes without end.
-fn prefill(shared: &Shared, record: &Record, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+fn prefill(
+    shared: &Shared,
+    record: &Record,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
     let id = request.id();
     if request.method() == "DELETE" {
         return stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
@@ -156,8 +180,15 @@
     );
     let is_resumed = !request.head.get("last-event-id").is_empty();
     let take = |left: usize| left.checked_sub(1);
-    if is_resumed && shared.spoiled.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok() {
-        record.write(format!("{id}: a prefill engine answers with bytes without end"));
+    if is_resumed
+        && shared
+            .spoiled
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
+            .is_ok()
+    {
+        record.write(format!(
+            "{id}: a prefill engine answers with bytes without end"
+        ));
         stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())?;
         loop {
             stream.write_all(chunk(" ").as_bytes())?;
@@ -166,15 +197,30 @@
     }
     thread::sleep(Duration::from_millis(180));
     let handle = format!("h{id}-{}", request.head.get("last-event-id"));
-    shared.handles.lock().unwrap().insert(handle.clone(), id.to_owned());
+    shared
+        .handles
+        .lock()
+        .unwrap()
+        .insert(handle.clone(), id.to_owned());
     let body = json!({ "handle": handle, "tokens": 9000, "version": 1 }).to_string();
     stream.write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
 }
 
 /// Streams, until the network resets the connection.
-fn decode(shared: &Shared, record: &Record, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+fn decode(
+    shared: &Shared,
+    record: &Record,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
     let id = request.id();
-    let source = request.head.get("x-kv-source").rsplit('/').next().unwrap_or_default().to_owned();
+    let source = request
+        .head
+        .get("x-kv-source")
+        .rsplit('/')
+        .next()
+        .unwrap_or_default()
+        .to_owned();
     if !source.is_empty() && shared.handles.lock().unwrap().remove(&source).as_deref() != Some(id) {
         let refusal = format!(
             "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
@@ -201,7 +247,9 @@
             if (turn + 1) * RESET_OF_20 / 20 == turn * RESET_OF_20 / 20 {
                 continue;
             }
-            record.write(format!("{id}: its connection is reset after event {number}"));
+            record.write(format!(
+                "{id}: its connection is reset after event {number}"
+            ));
             reset(stream);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -68,9 +68,20 @@
 
 /// Ends the program: 1 if the rule was broken, 0 if it held.
 pub fn end(record: &Record, is_broken: bool) -> ! {
-    record.write(if is_broken { "rule broken" } else { "rule held" });
+    record.write(if is_broken {
+        "rule broken"
+    } else {
+        "rule held"
+    });
     record.save(Path::new("record.txt"));
-    println!("{}", if is_broken { "rule broken" } else { "rule held" });
+    println!(
+        "{}",
+        if is_broken {
+            "rule broken"
+        } else {
+            "rule held"
+        }
+    );
     std::process::exit(i32::from(is_broken));
 }
 
@@ -98,7 +109,14 @@
                 let listener = smol::Async::new(listener).unwrap();
                 let limits = http::ServerLimits::default();
                 let (_stop_sender, stop) = smol::channel::bounded(1);
-                http::serve(listener.into(), limits, Rc::new(handler), executor.clone(), stop).await
+                http::serve(
+                    listener.into(),
+                    limits,
+                    Rc::new(handler),
+                    executor.clone(),
+                    stop,
+                )
+                .await
             };
             let _ = smol::block_on(executor.run(serving));
         });
@@ -307,8 +325,12 @@
         let mut lines = text.split("\r\n");
         let line = lines.next().unwrap_or_default().to_owned();
         let fields = lines.filter_map(|line| line.split_once(':'));
-        let fields = fields.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
-        Self { line, fields: fields.collect() }
+        let fields =
+            fields.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
+        Self {
+            line,
+            fields: fields.collect(),
+        }
     }
 }
 
@@ -357,8 +379,16 @@
     let mut rest = Vec::new();
     set_timeout(&stream, until)?;
     let head = read_head(&mut stream, &mut rest)?;
-    let status = head.line.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let mut answer = Answer { status: status.unwrap_or(0), head, ..Answer::default() };
+    let status = head
+        .line
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let mut answer = Answer {
+        status: status.unwrap_or(0),
+        head,
+        ..Answer::default()
+    };
     read_body(&mut stream, rest, until, &mut answer);
     Ok(answer)
 }
@@ -372,7 +402,8 @@
 }
 
 fn read_body(stream: &mut TcpStream, mut rest: Vec<u8>, until: Instant, answer: &mut Answer) {
-    let mut next = |rest: &mut Vec<u8>| set_timeout(stream, until).and_then(|()| more(stream, rest));
+    let mut next =
+        |rest: &mut Vec<u8>| set_timeout(stream, until).and_then(|()| more(stream, rest));
     if answer.head.get("transfer-encoding") != "chunked" {
         let length = answer.head.get("content-length").parse().unwrap_or(0);
         while rest.len() < length && next(&mut rest).is_ok() {}
@@ -467,7 +498,10 @@
                 let (Ok(copy), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
                     continue;
                 };
-                connections.lock().unwrap().insert(peer, (copy, String::new()));
+                connections
+                    .lock()
+                    .unwrap()
+                    .insert(peer, (copy, String::new()));
                 let (own_id, serve) = (own_id.clone(), serve.clone());
                 let connections = connections.clone();
                 thread::spawn(move || {
