--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -233,8 +233,9 @@
         })
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
+    /// How the process has ended, if it has.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
     }
 }
 
