--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -133,6 +133,7 @@
         let Ok(mut stream) = TcpStream::connect(self.0) else {
             return;
         };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
         let _ = stream.write_all(head.as_bytes());
         let _ = stream.read_to_end(&mut Vec::new());
     }
