--- a/review/kit/src/bin/builds.rs
+++ b/review/kit/src/bin/builds.rs
@@ -35,11 +35,11 @@
 const LONGER: Duration = Duration::from_millis(300);
 const ENGINES: usize = 12;
 /// Engines that are replaced in two releases, `AT_ONCE` at a time; the new ones start `AHEAD` before.
-const RELEASES: [std::ops::Range<usize>; 2] = [0..6, 6..10];
+const RELEASES: [std::ops::Range<usize>; 2] = [0..6, 6..11];
 const AT_ONCE: usize = 2;
-const AHEAD: Duration = Duration::from_millis(1_500);
+const AHEAD: Duration = Duration::from_millis(400);
 const GAP: Duration = Duration::from_secs(1);
-const STREAMS_PER_S: u32 = 31;
+const STREAMS_PER_S: u32 = 32;
 const EVENTS: u32 = 68;
 /// The first window of the retry budget, in which a gateway that has just started has no slack.
 const CALM: Duration = Duration::from_secs(12);
