--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -11,6 +11,7 @@
 use types::TargetName;
 
 use crate::core::arrivals::Arrivals;
+use crate::core::decision::Ending;
 use crate::deployment::EngineSpec;
 use crate::deployment::RetryPolicy;
 use crate::deployment::Route;
@@ -34,6 +35,8 @@
     /// Step as logs and metrics name it.
     pub(super) step: &'static str,
     pub(super) transfer: Option<Transfer>,
+    /// The target has sent an event, or a complete answer.
+    pub(super) has_begun: bool,
 }
 
 impl CurrentCall {
@@ -92,11 +95,22 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Whether a caller has got an event of an answer, which proves all parts of the prompt sound.
+    /// Whether the answer to the caller has begun. An event proves all parts of the prompt sound, and
+    /// no second head may be sent.
     pub(super) fn has_begun(&self) -> bool {
         self.first_ms.is_some() || self.last_event.is_some()
     }
 
+    /// How the request ends: an answer that has begun can only be completed or cut off.
+    pub(super) fn permitted(&self, ending: Ending) -> Ending {
+        match ending {
+            Ending::Refuse { .. } | Ending::NoRoute | Ending::Fail { .. } if self.has_begun() => {
+                Ending::Cut
+            }
+            _ => ending,
+        }
+    }
+
     pub(super) fn may_run_again(&self) -> bool {
         self.runs == 0
             || (self.route.retry_policy != RetryPolicy::Once
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -58,8 +58,7 @@
         }
         let ending = self.update_request(now, &mut active, call, &outcome);
         if let Some(ending) = ending {
-            self.finish(now, active, ending, &outcome);
-            return Decision::End(ending);
+            return self.finish(now, active, ending, &outcome);
         }
         self.requests.insert(number, active);
         self.next_decision(now, number)
@@ -90,23 +89,20 @@
                 self.set_unreachable(now, target);
             }
             // The route may give the request less time than its work takes.
-            CallOutcome::TimedOut { is_started: false } if took < MIN_FAILURE_TIMEOUT_MS => {}
+            CallOutcome::TimedOut if call.has_begun || took < MIN_FAILURE_TIMEOUT_MS => {}
             CallOutcome::Answered { .. }
             | CallOutcome::Failed { .. }
             | CallOutcome::AnswerLost { .. }
             | CallOutcome::Broken { .. }
             | CallOutcome::HeadTimedOut
-            | CallOutcome::TimedOut { is_started: false } => {
+            | CallOutcome::TimedOut => {
                 let change = self.fleet.record_failure(now, target);
                 self.log_target_change(target.clone(), change);
                 if self.has_stopped_serving(active, call, took, outcome) {
                     self.report_unreachable(now, call);
                 }
             }
-            CallOutcome::TimedOut { .. }
-            | CallOutcome::NotRun { .. }
-            | CallOutcome::Cancelled
-            | CallOutcome::Abandoned => {}
+            CallOutcome::NotRun { .. } | CallOutcome::Cancelled | CallOutcome::Abandoned => {}
         }
         if matches!(
             outcome,
@@ -119,7 +115,7 @@
             target: target.clone(),
             step: call.step,
             kind: outcome.label(),
-            outcome: outcome.to_string(),
+            outcome: outcome.text(call.has_begun),
             took_ms: millis(took),
         });
     }
@@ -201,8 +197,7 @@
         }
         match outcome {
             CallOutcome::Answered { .. } | CallOutcome::Abandoned => return Some(Ending::Done),
-            CallOutcome::TimedOut { is_started: true } => return Some(Ending::Cut),
-            CallOutcome::TimedOut { .. } => {
+            CallOutcome::TimedOut => {
                 return Some(Ending::Fail {
                     status: 504,
                     detail: "no answer before the request's deadline",
@@ -230,34 +225,22 @@
             | CallOutcome::HeadTimedOut => {}
         }
         active.tried_targets.extend(target);
-        // `last_event` stays set if a later call fails to resume the stream.
-        let is_started = active.last_event.is_some()
-            || matches!(
-                outcome,
-                CallOutcome::Broken {
-                    is_started: true,
-                    ..
-                }
-            );
         let can_resume =
             active.route.retry_policy == RetryPolicy::Resumable && active.last_event.is_some();
         let is_suspect = active.runs > 0 && !active.has_begun() && self.is_crash_suspect(active);
         let is_over = is_suspect
             || !active.may_run_again()
             || active.time_left(now) < MIN_CALL_MS
-            || (is_started && !can_resume);
+            || (active.has_begun() && !can_resume);
         if !is_over && self.is_within_budget(now, active, false) {
             return None;
         }
-        Some(final_ending(active, is_started))
+        Some(final_ending(active))
     }
 }
 
 /// How a request ends that gets no further call.
-pub(super) fn final_ending(active: &ActiveRequest, is_started: bool) -> Ending {
-    if is_started {
-        return Ending::Cut;
-    }
+pub(super) fn final_ending(active: &ActiveRequest) -> Ending {
     if active.runs > 0 {
         return Ending::Fail {
             status: 502,
--- a/components/gateway/src/core/decision.rs
+++ b/components/gateway/src/core/decision.rs
@@ -151,8 +151,6 @@
     Broken {
         /// Id of the last complete event that was sent to the caller.
         last_event: Option<String>,
-        /// Bytes of the answer were sent to the caller.
-        is_started: bool,
         /// Cause.
         detail: String,
         /// The target closed or reset the connection.
@@ -163,10 +161,7 @@
     /// No head of an answer arrived within the call's head timeout.
     HeadTimedOut,
     /// The request's deadline has passed.
-    TimedOut {
-        /// Bytes of the answer were sent to the caller.
-        is_started: bool,
-    },
+    TimedOut,
     /// The answer was sent to the caller.
     Answered {
         /// Status that the caller got.
@@ -199,6 +194,15 @@
         }
     }
 
+    /// Text for the log; `has_begun` tells whether the caller has got a part of the answer.
+    #[must_use]
+    pub fn text(&self, has_begun: bool) -> String {
+        match self {
+            Self::TimedOut if has_begun => "out of time in the answer".to_owned(),
+            _ => self.to_string(),
+        }
+    }
+
     /// Kind of outcome, for the metrics.
     #[must_use]
     pub fn label(&self) -> &'static str {
@@ -209,7 +213,7 @@
             Self::AnswerLost { .. } => "answer-lost",
             Self::Failed { .. } => "failed",
             Self::Broken { .. } => "broken",
-            Self::HeadTimedOut | Self::TimedOut { .. } => "timed-out",
+            Self::HeadTimedOut | Self::TimedOut => "timed-out",
             Self::Answered { .. } => "answered",
             Self::Cancelled => "cancelled",
             Self::Abandoned => "abandoned",
@@ -239,8 +243,7 @@
             } => write!(f, "stream broken after event {event}: {detail}"),
             Self::Broken { detail, .. } => write!(f, "stream broken before any event: {detail}"),
             Self::HeadTimedOut => write!(f, "no response head before the call's timeout"),
-            Self::TimedOut { is_started: true } => write!(f, "out of time in the answer"),
-            Self::TimedOut { .. } => write!(f, "deadline passed before the answer"),
+            Self::TimedOut => write!(f, "deadline passed before the answer"),
             Self::Answered { status } => write!(f, "answered: status {status}"),
             Self::Cancelled => write!(
                 f,
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -370,7 +370,8 @@
         (number, decision)
     }
 
-    /// Records the arrival of a stream's first event, or of a complete answer that is no stream.
+    /// Records the first event of a call's stream, or its complete answer, which is then sent to the
+    /// caller. From the first one of a request on, its answer has begun.
     pub fn first_byte(&mut self, now: Instant, number: RequestNumber) {
         let Some(active) = self.requests.get_mut(&number) else {
             return;
@@ -382,6 +383,7 @@
             return;
         };
         if let Some(current) = &mut active.current {
+            current.has_begun = true;
             current.prefill_finished(now, &mut self.fleet);
         }
         self.record_first_event(now, number);
@@ -393,7 +395,8 @@
         active: ActiveRequest,
         ending: Ending,
         outcome: &CallOutcome,
-    ) {
+    ) -> Decision {
+        let ending = active.permitted(ending);
         self.release_retries(&active);
         self.end_trial(now, &active);
         if let Some(transfer) = active.transfer {
@@ -412,6 +415,7 @@
             retry_after_ms: retry_after_ms(ending),
             refusal: refusal(ending),
         });
+        Decision::End(ending)
     }
 
     fn log_unrouted(&mut self, request: &CallerRequest, ending: Ending) {
@@ -436,7 +440,7 @@
         (Ending::Refuse { cause, .. }, _) => ("refused", cause.to_string(), 503),
         (Ending::NoRoute, _) => ("refused", "no route matches".to_owned(), 404),
         (Ending::Fail { status, detail }, _) => ("failed", detail.to_owned(), status),
-        (Ending::Cut, outcome) => ("cut", outcome.to_string(), 0),
+        (Ending::Cut, outcome) => ("cut", outcome.text(true), 0),
         (_, CallOutcome::Answered { status }) => ("answered", String::new(), *status),
         _ => ("abandoned", "the caller disconnected".to_owned(), 0),
     }
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -79,20 +79,18 @@
             (Ok(()), Some(spec)) => self.plan_model(now, &mut active, &spec),
             (Ok(()), None) => self.plan_plain(now, &active),
         };
-        match planned {
-            Ok(planned) => {
-                let decision = self.start_call(now, &mut active, planned);
+        match planned.and_then(|planned| self.start_call(now, &mut active, planned)) {
+            Ok(next) => {
                 self.requests.insert(number, active);
-                decision
+                Decision::Call(Box::new(next))
             }
             Err(ending) => {
                 let ending = if active.runs > 0 {
-                    final_ending(&active, active.last_event.is_some())
+                    final_ending(&active)
                 } else {
                     ending
                 };
-                self.finish(now, active, ending, &CallOutcome::Abandoned);
-                Decision::End(ending)
+                self.finish(now, active, ending, &CallOutcome::Abandoned)
             }
         }
     }
@@ -251,9 +249,9 @@
         now: Instant,
         active: &mut ActiveRequest,
         planned: PlannedCall,
-    ) -> Decision {
+    ) -> Result<NextCall, Ending> {
         let Some(state) = self.fleet.get(&planned.target) else {
-            return Decision::End(no_target());
+            return Err(no_target());
         };
         let (address, key) = (state.entry.address, state.key);
         let build = state.entry.build.clone();
@@ -305,8 +303,9 @@
             is_prefill,
             step,
             transfer,
+            has_begun: false,
         });
-        Decision::Call(Box::new(NextCall {
+        Ok(NextCall {
             call: Call {
                 step: planned.step,
                 target: planned.target,
@@ -317,7 +316,7 @@
             address,
             head_timeout_ms: planned.head_timeout_ms,
             needs_new_connection,
-        }))
+        })
     }
 }
 
--- a/components/gateway/src/daemon/callers.rs
+++ b/components/gateway/src/daemon/callers.rs
@@ -114,10 +114,8 @@
             match call_result {
                 Err(_) => CallOutcome::Abandoned,
                 Ok(None) if next.head_timeout_ms < time_left_ms => CallOutcome::HeadTimedOut,
-                Ok(None) => CallOutcome::TimedOut {
-                    is_started: exchange.is_started(),
-                },
-                Ok(Some(Err(error))) => transport_outcome(error, exchange.is_started()),
+                Ok(None) => CallOutcome::TimedOut,
+                Ok(Some(Err(error))) => transport_outcome(error),
                 Ok(Some(Ok(response))) => context.handle_answer(response, exchange, deadline).await,
             }
         };
@@ -153,7 +151,7 @@
     }
 }
 
-fn transport_outcome(error: ForwardError, is_started: bool) -> CallOutcome {
+fn transport_outcome(error: ForwardError) -> CallOutcome {
     let is_closed_by_target = error.cause.is_closed_by_peer();
     let detail = match error.cause {
         ClientError::NotSent { detail } => return CallOutcome::NotSent { detail },
@@ -162,19 +160,10 @@
     let is_new_connection = !error.is_reused_connection;
     let connection = if is_new_connection { "new" } else { "reused" };
     let detail = format!("{detail}, on a {connection} connection");
-    if is_started {
-        CallOutcome::Broken {
-            last_event: None,
-            is_started,
-            detail,
-            is_closed_by_target,
-        }
-    } else {
-        CallOutcome::AnswerLost {
-            detail,
-            is_new_connection,
-            is_closed_by_target,
-        }
+    CallOutcome::AnswerLost {
+        detail,
+        is_new_connection,
+        is_closed_by_target,
     }
 }
 
@@ -244,7 +233,7 @@
         let answer = with_timeout(left, Box::pin(response.into_buffered()));
         match exchange.or_hang_up(answer).await {
             Err(_) => CallOutcome::Abandoned,
-            Ok(None) => CallOutcome::TimedOut { is_started: false },
+            Ok(None) => CallOutcome::TimedOut,
             Ok(Some(Err(error))) => CallOutcome::unusable(error.to_string()),
             Ok(Some(Ok(complete))) => match self.daemon.protocol.prefill_result(&complete.body) {
                 Some(result) if status == 200 => CallOutcome::Prefilled(result),
--- a/components/gateway/src/daemon/relay.rs
+++ b/components/gateway/src/daemon/relay.rs
@@ -78,15 +78,10 @@
         };
         let chunk = match exchange.or_hang_up(next).await {
             Err(HungUp) => return CallOutcome::Abandoned,
-            Ok(None) => {
-                return CallOutcome::TimedOut {
-                    is_started: exchange.is_started(),
-                };
-            }
+            Ok(None) => return CallOutcome::TimedOut,
             Ok(Some(Err(error))) => {
                 return CallOutcome::Broken {
                     last_event: events.last_id().map(str::to_owned),
-                    is_started: exchange.is_started(),
                     is_closed_by_target: error.is_closed_by_peer(),
                     detail: error.to_string(),
                 };
@@ -98,7 +93,6 @@
         if complete.is_err() || response.reserve(events.rest().len()).is_err() {
             return CallOutcome::Broken {
                 last_event: events.last_id().map(str::to_owned),
-                is_started: exchange.is_started(),
                 detail: "an event is too long, or too many are incomplete".to_owned(),
                 is_closed_by_target: false,
             };
@@ -106,9 +100,11 @@
         let Ok(Some(complete)) = complete else {
             continue;
         };
-        has_event = true;
         if let Some(head) = head.take() {
             exchange.queue_head(head);
+        }
+        if !has_event {
+            has_event = true;
             let now = daemon.clock.now();
             daemon.core.borrow_mut().first_byte(now, context.number);
         }
@@ -120,7 +116,6 @@
     if !events.rest().is_empty() || (ends_with_connection && !has_event) {
         return CallOutcome::Broken {
             last_event: events.last_id().map(str::to_owned),
-            is_started: exchange.is_started(),
             detail: "the stream ended in the middle of an event, or without any".to_owned(),
             is_closed_by_target: ends_with_connection,
         };
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -113,8 +113,10 @@
     ///
     /// # Errors
     ///
-    /// `HungUp` if the peer closes the connection or stops reading.
+    /// `HungUp` if the peer closes the connection or stops reading, or if a response has begun, which
+    /// closes the connection.
     pub async fn respond(&mut self, mut head: Response, body: &[u8]) -> Result<(), HungUp> {
+        self.begin()?;
         self.add_connection_close(&mut head);
         self.output = encode_response(head, body, self.is_head_only);
         self.flush().await?;
@@ -126,7 +128,7 @@
     ///
     /// # Errors
     ///
-    /// `HungUp` if the peer closes the connection or stops reading.
+    /// As `respond`.
     pub async fn start(&mut self, head: Response) -> Result<(), HungUp> {
         self.queue_head(head);
         self.flush().await
@@ -136,7 +138,7 @@
     ///
     /// # Errors
     ///
-    /// `HungUp` if the peer closes the connection or stops reading.
+    /// `HungUp` if the peer closes the connection or stops reading, or if no response is in progress.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HungUp> {
         self.queue(bytes);
         self.flush().await
@@ -148,6 +150,10 @@
     ///
     /// `HungUp` if the peer closes the connection or stops reading.
     pub async fn finish(&mut self) -> Result<(), HungUp> {
+        if !self.is_in_progress() {
+            self.response_state = ResponseState::Failed;
+            return Err(HungUp);
+        }
         if !self.is_head_only {
             self.output.extend_from_slice(b"0\r\n\r\n");
         }
@@ -156,8 +162,11 @@
         Ok(())
     }
 
-    /// Like `start`, but buffers the head until the next write or flush.
+    /// Like `start`, but buffers the head until the next write or flush, which reports the error.
     pub fn queue_head(&mut self, mut head: Response) {
+        if self.begin().is_err() {
+            return;
+        }
         self.add_connection_close(&mut head);
         let has_content_type = head.header("content-type").is_some();
         let length = has_no_body(&head).then_some(0);
@@ -167,11 +176,14 @@
             head.remove_header("content-type");
         }
         encode_head(head, &mut self.output);
-        self.response_state = ResponseState::Streaming;
     }
 
     /// Like `write`, but buffers the bytes until the next write or flush.
     pub fn queue(&mut self, bytes: &[u8]) {
+        if !self.is_in_progress() {
+            self.response_state = ResponseState::Failed;
+            return;
+        }
         if self.is_head_only || bytes.is_empty() {
             return;
         }
@@ -199,8 +211,27 @@
         self.peer
     }
 
+    /// Begins the response. A second head would arrive in the body of the first response or without
+    /// a request, so the connection is closed instead.
+    fn begin(&mut self) -> Result<(), HungUp> {
+        if self.is_started() {
+            self.response_state = ResponseState::Failed;
+            return Err(HungUp);
+        }
+        self.response_state = ResponseState::Streaming;
+        Ok(())
+    }
+
+    fn is_in_progress(&self) -> bool {
+        self.response_state == ResponseState::Streaming
+    }
+
     /// Sends bytes that are not part of the response, such as an interim response.
-    pub(crate) async fn send_raw(&mut self, bytes: &[u8]) -> Result<(), HungUp> {
+    ///
+    /// # Errors
+    ///
+    /// `HungUp` if the peer closes the connection or stops reading.
+    pub async fn send_raw(&mut self, bytes: &[u8]) -> Result<(), HungUp> {
         self.output.extend_from_slice(bytes);
         self.flush().await
     }
@@ -217,6 +248,9 @@
     ///
     /// `HungUp` if the peer closes the connection or stops reading.
     pub async fn flush(&mut self) -> Result<(), HungUp> {
+        if self.response_state == ResponseState::Failed {
+            return Err(HungUp);
+        }
         let mut written = 0;
         let result = poll_fn(|cx| {
             while written < self.output.len() {
--- a/components/http/tests/common/mod.rs
+++ b/components/http/tests/common/mod.rs
@@ -66,6 +66,17 @@
                     let _ = exchange.start(head).await;
                     exchange.write(b"half").await
                 }
+                "/second-head" => {
+                    let _ = exchange.start(Response::new(StatusCode::Ok)).await;
+                    let _ = exchange.write(b"half").await;
+                    exchange.respond(head, b"second").await
+                }
+                "/second-response" => {
+                    let first = Response::new(StatusCode::Ok);
+                    let _ = exchange.respond(first, b"first").await;
+                    exchange.respond(head, b"second").await
+                }
+                "/no-head" => exchange.write(b"half").await,
                 "/none" => Ok(()),
                 "/no-content" => send_chunks(exchange, Response::new(StatusCode::NoContent)).await,
                 "/not-modified" => {
--- a/components/http/tests/server.rs
+++ b/components/http/tests/server.rs
@@ -302,3 +302,21 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     });
 }
+
+// The head of a 504 was written where the size of the next chunk was due.
+#[test]
+fn second_head_closes_the_connection_and_reaches_no_client() {
+    with_server(limits(), |server| async move {
+        for (path, begin) in [
+            ("second-head", "4\r\nhalf\r\n"),
+            ("second-response", "first"),
+            ("no-head", ""),
+        ] {
+            let request = format!("GET /{path} HTTP/1.1\r\nHost: a\r\n\r\n");
+            let answer = send_raw(server.addr, request.as_bytes()).await;
+            let heads = answer.matches("HTTP/1.1").count();
+            assert_eq!(heads, usize::from(path != "no-head"), "{path}: {answer}");
+            assert!(answer.ends_with(begin), "{path}: {answer}");
+        }
+    });
+}
--- a/tests/raw_engines.rs
+++ b/tests/raw_engines.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use common::with_gateway;
+use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use http::BufferedResponse;
 use http::Client;
@@ -19,10 +20,12 @@
 use smol::net::TcpStream;
 use standin::staged_engine::Stage;
 use testbed::GatewayTestbed;
+use testbed::gateways::HOST;
 use testbed::gateways::TestRequest;
 use testbed::gateways::send;
 use testbed::raw_engine;
 use testbed::raw_engine::plain_answer;
+use testbed::raw_engine::prefill_answer;
 use testbed::raw_engine::read_head;
 use testbed::raw_engine::refusal_head;
 use testbed::raw_engine::request_id;
@@ -276,3 +279,66 @@
         Ok(())
     });
 }
+
+/// Sends a prompt that is long enough for a prefill engine, and returns all bytes of the answer.
+async fn bytes_of_answer(testbed: &GatewayTestbed, id: &str) -> eyre::Result<String> {
+    let mut stream = TcpStream::connect(testbed.gateways[0].callers).await?;
+    let head = format!(
+        "POST /tag/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+         X-Token-Counts: 16000,35\r\nX-Prompt-Prefix: 5c1e:14400,7:1600\r\n\
+         Content-Length: 0\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+// The gateway wrote the head of a 504 into a resumed stream whose prefill had no end.
+#[test]
+fn resumed_stream_gets_no_second_head_after_a_prefill_without_end() {
+    with_gateway("raw-midstream", async |mut testbed| {
+        let prefills = Rc::new(Cell::new(0));
+        let endless = prefills.clone();
+        replace_engines(&mut testbed, Stage::Prefill, move |head, mut stream| {
+            let endless = endless.clone();
+            async move {
+                if !head.contains("last-event-id: ") {
+                    let _ = stream.write_all(prefill_answer(&head).as_bytes()).await;
+                    return;
+                }
+                endless.set(endless.get() + 1);
+                let id = request_id(&head);
+                let start = format!(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                let mut sent = stream.write_all(start.as_bytes()).await;
+                while sent.is_ok() {
+                    Timer::after(Duration::from_millis(100)).await;
+                    sent = stream.write_all(b"1\r\n \r\n").await;
+                }
+            }
+        })
+        .await?;
+        replace_engines(&mut testbed, Stage::Decode, async |head, mut stream| {
+            let events = if request_id(&head).starts_with("calm") {
+                TWO_EVENTS
+            } else {
+                "id: 1\ndata: a\n\nid: 2\nda"
+            };
+            let answer = stream_head(&head) + events;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        })
+        .await?;
+        // The budget of retries grows with the requests.
+        for number in 0..20 {
+            bytes_of_answer(&testbed, &format!("calm-{number}")).await?;
+        }
+        let answer = bytes_of_answer(&testbed, "broken").await?;
+        assert!(prefills.get() > 0, "the stream was not resumed: {answer}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+        assert!(answer.contains("data: a"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+        Ok(())
+    });
+}
