--- a/components/builds/src/lib.rs
+++ b/components/builds/src/lib.rs
@@ -28,6 +28,35 @@
 /// Build of a target's software, not of the weights that it has loaded.
 pub type Build = String;
 
+/// At which builds a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AllowedBuilds<'a> {
+    /// At all; nothing of its answer has been made.
+    Any,
+    /// At the one that began its answer.
+    Only(&'a Build),
+    /// At none, as its answer has begun and it is not known at which build.
+    None,
+}
+
+impl<'a> AllowedBuilds<'a> {
+    /// Only that of a target, which may not be known.
+    #[must_use]
+    pub fn same_as(build: Option<&'a Build>) -> Self {
+        build.map_or(Self::None, Self::Only)
+    }
+
+    /// Whether a target may run the request; `None` if its build is not known.
+    #[must_use]
+    pub fn allow(self, build: Option<&Build>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(begun) => build == Some(begun),
+            Self::None => false,
+        }
+    }
+}
+
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -1,9 +1,11 @@
 //! State of a request in flight.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::AllowedBuilds;
 use builds::Build;
 use builds::Origin;
 use smallvec::SmallVec;
@@ -27,6 +29,9 @@
 pub(super) struct CurrentCall {
     pub(super) target: TargetName,
     pub(super) key: TargetKey,
+    pub(super) address: SocketAddr,
+    /// Build of the target; its entry may be gone when the answer comes.
+    pub(super) build: Option<Build>,
     pub(super) load: Load,
     pub(super) started: Instant,
     /// Expected time for the prefills queued at the target before this call.
@@ -80,15 +85,19 @@
     pub(super) current: Option<CurrentCall>,
     pub(super) transfer: Option<Transfer>,
     pub(super) last_event: Option<String>,
-    /// Where the stream began; `None` before its first event.
+    /// Where the stream began; `None` before its first event, or if that is not known.
     pub(super) origin: Option<Origin>,
     pub(super) first_ms: Option<u64>,
 }
 
 impl ActiveRequest {
-    /// Build at which the stream has to go on; `None` before its first event.
-    pub(super) fn build(&self) -> Option<&Build> {
-        self.origin.as_ref().map(|origin| &origin.build)
+    /// Builds at which the request may run.
+    pub(super) fn builds(&self) -> AllowedBuilds<'_> {
+        match &self.origin {
+            Some(origin) => AllowedBuilds::Only(&origin.build),
+            None if self.has_begun() => AllowedBuilds::None,
+            None => AllowedBuilds::Any,
+        }
     }
 
     pub(super) fn time_left(&self, now: Instant) -> Duration {
@@ -98,7 +107,7 @@
     /// Whether the answer to the caller has begun. An event proves all parts of the prompt sound, and
     /// no second head may be sent.
     pub(super) fn has_begun(&self) -> bool {
-        self.first_ms.is_some() || self.last_event.is_some()
+        self.first_ms.is_some()
     }
 
     /// How the request ends: an answer that has begun can only be completed or cut off.
--- a/components/gateway/src/core/builds.rs
+++ b/components/gateway/src/core/builds.rs
@@ -70,13 +70,7 @@
         };
         let is_resumed = active.origin.is_some();
         if !is_resumed {
-            // Without an entry of this very process, its build is not known.
-            let state = self.fleet.get(&call.target);
-            let state = state.filter(|state| state.key == call.key);
-            let Some(build) = state.and_then(|state| state.entry.build.clone()) else {
-                return;
-            };
-            active.origin = Some(Origin {
+            active.origin = call.build.clone().map(|build| Origin {
                 service: active.service.clone(),
                 build,
             });
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -180,7 +180,8 @@
         let is_run = call.as_ref().is_some_and(|call| !call.is_prefill);
         self.count_arrival(now, active, outcome);
         let target = call.as_ref().map(|call| call.target.clone());
-        let transfer = call.and_then(|call| call.transfer);
+        let mut call = call;
+        let transfer = call.as_mut().and_then(|call| call.transfer.take());
         if is_run
             && !matches!(
                 outcome,
@@ -204,10 +205,11 @@
                 });
             }
             CallOutcome::Prefilled(result) => {
-                let state = target.as_ref().and_then(|target| self.fleet.get(target));
-                active.transfer = state.map(|state| Transfer {
-                    source: state.entry.name.clone(),
-                    address: state.entry.address,
+                active.transfer = call.map(|call| Transfer {
+                    source: call.target,
+                    process: call.key,
+                    address: call.address,
+                    build: call.build,
                     handle: result.handle.clone(),
                 });
                 return None;
--- a/components/gateway/src/core/limits.rs
+++ b/components/gateway/src/core/limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::AllowedBuilds;
 use limits::NamedRate;
 use limits::Notice;
 use limits::Rate;
@@ -52,10 +53,13 @@
     }
 
     /// Records what the answer to the release of a KV cache says of the engine.
-    pub fn record_release_answer(&mut self, now: Instant, engine: &str, statement: &Statement) {
-        if let Some(key) = self.fleet.get(engine).map(|state| state.key) {
-            self.record_standing(now, key, statement);
-        }
+    pub fn record_release_answer(
+        &mut self,
+        now: Instant,
+        transfer: &Transfer,
+        statement: &Statement,
+    ) {
+        self.record_standing(now, transfer.process, statement);
     }
 
     fn record_standing(&mut self, now: Instant, key: TargetKey, statement: &Statement) {
@@ -138,7 +142,7 @@
         if self.fleet.limits.limited_count() == 0 {
             return;
         }
-        let targets = self.fleet.healthy(service, None, now);
+        let targets = self.fleet.healthy(service, AllowedBuilds::Any, now);
         let keys: SmallVec<[TargetKey; 8]> = targets.iter().map(|state| state.key).collect();
         for key in keys {
             self.fleet.limits.record_demand(now, key);
@@ -147,7 +151,7 @@
 
     /// Reserves room for the run after a prefill, if only engines with a limit can run it.
     pub(super) fn reserve_run(&mut self, now: Instant, active: &mut ActiveRequest) {
-        let mut runners = self.fleet.usable(&active.service, active.build(), now);
+        let mut runners = self.fleet.usable(&active.service, active.builds(), now);
         runners.retain(|state| {
             state.entry.role != Role::Prefill && !active.tried_targets.contains(&state.entry.name)
         });
@@ -183,20 +187,17 @@
     /// Whether the limit of an engine leaves room for the call that releases a KV cache. The engine
     /// releases it by itself otherwise.
     pub(super) fn use_room_for_release(&mut self, now: Instant, transfer: &Transfer) -> bool {
-        let Some(key) = self.fleet.get(&transfer.source).map(|state| state.key) else {
-            return true;
-        };
-        let has_room = self.fleet.has_room(now, key);
+        let has_room = self.fleet.has_room(now, transfer.process);
         if has_room {
-            self.fleet.limits.record_call(now, key);
+            self.fleet.limits.record_call(now, transfer.process);
         }
         has_room
     }
 
     /// Refusal of a request that no target takes now.
     pub(super) fn no_target(&mut self, now: Instant, active: &ActiveRequest) -> Ending {
-        let healthy = self.fleet.healthy(&active.service, active.build(), now);
-        if healthy.is_empty() && active.origin.is_some() {
+        let healthy = self.fleet.healthy(&active.service, active.builds(), now);
+        if healthy.is_empty() && active.builds() != AllowedBuilds::Any {
             return Ending::Refuse {
                 retry_after_ms: plan::NO_TARGET_RETRY_AFTER_MS,
                 cause: RefusalCause::NoBuild,
--- a/components/gateway/src/core/plan.rs
+++ b/components/gateway/src/core/plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use builds::AllowedBuilds;
 use rand::Rng;
 use rand::RngExt;
 use types::Role;
@@ -97,7 +98,7 @@
 
     fn plan_plain(&mut self, now: Instant, active: &ActiveRequest) -> Result<PlannedCall, Ending> {
         self.record_demand(now, &active.service);
-        let mut targets = self.fleet.usable(&active.service, active.build(), now);
+        let mut targets = self.fleet.usable(&active.service, active.builds(), now);
         if !active.trial.is_empty() {
             let has_crashed = |key| self.quarantine.has_crashed(key);
             placement::retain_trial_target(&mut targets, &active.tried_targets, has_crashed);
@@ -136,7 +137,7 @@
         };
         self.record_demand(now, &active.service);
         let may_transfer = self.is_within_budget(now, active, true);
-        let mut targets = self.fleet.usable(&active.service, active.build(), now);
+        let mut targets = self.fleet.usable(&active.service, active.builds(), now);
         let placement_request = PlacementRequest {
             work,
             hashes: &active.hashes,
@@ -144,14 +145,16 @@
             may_transfer,
         };
         if let Some(transfer) = active.transfer.take() {
-            targets.extend(
-                self.fleet
-                    .reserved(&active.service, active.reserved_call, now),
-            );
-            let source = self.fleet.get(&transfer.source);
+            targets.extend(self.fleet.reserved(
+                &active.service,
+                active.builds(),
+                active.reserved_call,
+                now,
+            ));
             // What one build has written into a KV cache does not fit another.
-            let build = source.and_then(|state| state.entry.build.as_ref());
-            targets.retain(|state| state.entry.build.as_ref() == build);
+            let fits = AllowedBuilds::same_as(transfer.build.as_ref());
+            targets.retain(|state| fits.allow(state.entry.build.as_ref()));
+            let source = self.fleet.get(&transfer.source);
             let source = source.map_or(&self.settings.data_centre, |s| &s.entry.data_centre);
             let prefix_index = &self.fleet.prefix_index;
             let target = placement::choose_decode_engine(
@@ -280,7 +283,7 @@
         self.log_events.push(LogEvent::TargetCalled {
             request: active.request.id.clone(),
             target: planned.target.clone(),
-            build,
+            build: build.clone(),
             step,
             call: active.calls,
             expected_ms: rounded(planned.expected_ms),
@@ -297,6 +300,8 @@
         active.current = Some(CurrentCall {
             target: planned.target.clone(),
             key,
+            address,
+            build,
             load: planned.load,
             started: now,
             waiting_ms,
--- a/components/gateway/src/core/retry.rs
+++ b/components/gateway/src/core/retry.rs
@@ -22,7 +22,8 @@
         let has_retry_left = active.route.retry_policy == RetryPolicy::Idempotent
             && active.runs + 1 < active.route.attempt_limit
             && active.time_left(now) >= MIN_CALL_MS;
-        let targets = self.fleet.usable(&active.service, None, now).len();
+        let targets = self.fleet.usable(&active.service, active.builds(), now);
+        let targets = targets.len();
         if !has_retry_left || targets <= active.tried_targets.len() + 1 {
             return false;
         }
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -323,7 +323,7 @@
             daemon
                 .core
                 .borrow_mut()
-                .record_release_answer(now, &transfer.source, &info.statement);
+                .record_release_answer(now, &transfer, &info.statement);
             let _ = response.into_buffered().await;
         }
     };
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use builds::Build;
+use builds::AllowedBuilds;
 use limits::Limits;
 use limits::Room;
 use types::HostName;
@@ -203,16 +203,16 @@
         self.targets.values()
     }
 
-    /// Targets of a service that may get a call now: healthy ones whose limit leaves room. Only
-    /// those of a build, if one is given.
+    /// Targets of a service that may get a call now: healthy ones of allowed builds whose limit
+    /// leaves room.
     #[must_use]
     pub fn usable(
         &self,
         service: &ServiceName,
-        build: Option<&Build>,
+        builds: AllowedBuilds<'_>,
         now: Instant,
     ) -> Vec<&TargetState> {
-        let mut usable = self.healthy(service, build, now);
+        let mut usable = self.healthy(service, builds, now);
         usable.retain(|state| self.has_room(now, state.key));
         usable
     }
@@ -223,19 +223,19 @@
         matches!(self.limits.room(now, key), Room::Unlimited | Room::Now)
     }
 
-    /// Targets of a service, and of a build if one is given, that take new work. Unhealthy ones are
-    /// left out unless all of their role are unhealthy.
+    /// Targets of a service and of allowed builds that take new work. Unhealthy ones are left out
+    /// unless all of their role are unhealthy.
     #[must_use]
     pub fn healthy(
         &self,
         service: &ServiceName,
-        build: Option<&Build>,
+        builds: AllowedBuilds<'_>,
         now: Instant,
     ) -> Vec<&TargetState> {
         let candidates = self.targets.values().filter(|state| {
             state.entry.service == *service
                 && !state.entry.is_draining
-                && build.is_none_or(|build| state.entry.build.as_ref() == Some(build))
+                && builds.allow(state.entry.build.as_ref())
         });
         let (mut usable, unhealthy): (Vec<_>, Vec<_>) =
             candidates.partition(|state| state.health.is_healthy(now));
@@ -577,6 +577,7 @@
     pub fn reserved(
         &self,
         service: &ServiceName,
+        builds: AllowedBuilds<'_>,
         reserved: Option<TargetKey>,
         now: Instant,
     ) -> Option<&TargetState> {
@@ -586,7 +587,7 @@
                 && !standing(*key).is_leaving()
                 && standing(*key).pause_end(now).is_none()
         })?;
-        let healthy = self.healthy(service, None, now);
+        let healthy = self.healthy(service, builds, now);
         healthy.into_iter().find(|state| state.key == key)
     }
 
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -8,6 +8,7 @@
 
 use std::time::Instant;
 
+use builds::AllowedBuilds;
 use smallvec::SmallVec;
 use types::DataCentre;
 use types::Role;
@@ -84,10 +85,11 @@
 ) -> Option<Placement> {
     // A KV cache fits only engines of the same build.
     let can_transfer = |from: &TargetState| {
+        let fits = AllowedBuilds::same_as(from.entry.build.as_ref());
         let mut runners = targets.iter().filter(|state| {
             state.entry.role != Role::Prefill && !request.tried_targets.contains(&state.entry.name)
         });
-        request.may_transfer && runners.any(|state| state.entry.build == from.entry.build)
+        request.may_transfer && runners.any(|state| fits.allow(state.entry.build.as_ref()))
     };
     let candidates = targets.iter().filter(|state| {
         !request.tried_targets.contains(&state.entry.name)
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -6,12 +6,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use builds::Build;
 use http_types::Response;
 use http_types::headers::Headers;
 use limits::Statement;
 use smallvec::SmallVec;
 use types::TargetName;
 
+use crate::fleet::TargetKey;
+
 /// Id of a part of a prompt, derived from its content; equal parts of two prompts have the same id.
 pub type PartId = u64;
 /// Hash of all that makes a request the same when it comes again: method, host, path, caller and
@@ -86,8 +89,12 @@
 pub struct Transfer {
     /// Engine that holds it.
     pub source: TargetName,
+    /// Run of that engine.
+    pub process: TargetKey,
     /// Address of that engine.
     pub address: SocketAddr,
+    /// Build of that engine.
+    pub build: Option<Build>,
     /// Handle of the KV cache on that engine.
     pub handle: KvHandle,
 }
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -2,18 +2,25 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::with_gateways;
+use futures_lite::AsyncWriteExt;
 use http::Client;
 use http::ClientLimits;
 use smol::Timer;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
 use standin::staged_engine::EVENT_COUNT;
 use standin::staged_engine::EngineMode;
 use standin::staged_engine::event;
 use testbed::GatewayTestbed;
 use testbed::gateways::TestRequest;
 use testbed::gateways::send;
+use testbed::raw_engine;
+use testbed::raw_engine::request_id;
+use testbed::raw_engine::stream_head;
 
 /// Time in which gateways connect to their peers and read the entries of engines.
 const PEERING_MS: Duration = Duration::from_secs(2);
@@ -178,3 +185,67 @@
         Ok(())
     });
 }
+
+/// Serves one stream at an engine of build v1 whose row is removed before the first event, and which
+/// breaks the stream off. Engines of v2 serve from then on, and one more of v1 if `has_other`.
+async fn stream_of_leaving_engine(
+    testbed: &mut GatewayTestbed,
+    id: &'static str,
+    has_other: bool,
+) -> eyre::Result<Option<String>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    testbed.set_address("write-1", listener.local_addr()?);
+    for name in ["read-1", "read-2", "write-2", "write-3"] {
+        testbed.unregister(name);
+    }
+    testbed.register("write-1", "ready");
+    Timer::after(PEERING_MS).await;
+    let (arrived, has_arrived) = smol::channel::bounded(1);
+    let (left, has_left) = smol::channel::bounded::<()>(1);
+    let answer = move |head: String, mut stream: TcpStream| {
+        let (arrived, has_left) = (arrived.clone(), has_left.clone());
+        async move {
+            let _ = arrived.try_send(());
+            let _ = has_left.recv().await;
+            let begun = stream_head(&head)
+                + &event(request_id(&head), 1)
+                + &event(request_id(&head), 2)
+                + "id: 3";
+            let _ = stream.write_all(begun.as_bytes()).await;
+        }
+    };
+    testbed.spawn(raw_engine::serve(listener, Rc::new(answer)));
+    let leaving = async {
+        let _ = has_arrived.recv().await;
+        testbed.set_build("write-2", "v2");
+        testbed.set_build("write-3", if has_other { "v1" } else { "v2" });
+        testbed.unregister("write-1");
+        Timer::after(PEERING_MS).await;
+        drop(left);
+        std::future::pending().await
+    };
+    Ok(smol::future::or(stream(testbed, 0, id, None), leaving).await)
+}
+
+// The entry of the engine was gone at the first event, and the stream went on at any build.
+#[test]
+fn stream_of_an_engine_that_leaves_before_the_first_event_stays_at_its_build() {
+    with_gateways("builds-leaving", 1, async |mut testbed| {
+        // The budget of retries grows with the requests.
+        for number in 0..STREAMS {
+            stream(&testbed, 0, &format!("calm{number}"), None).await;
+        }
+        let answer = stream_of_leaving_engine(&mut testbed, "alone", false).await?;
+        let runs = testbed.ledger.borrow().runs.get("alone").cloned();
+        assert_eq!((answer, runs), (None, None), "the stream goes on at v2");
+        let answer = stream_of_leaving_engine(&mut testbed, "second", true).await?;
+        let whole: String = (1..=EVENT_COUNT)
+            .map(|number| event("second", number))
+            .collect();
+        assert_eq!(answer.as_deref(), Some(whole.as_str()));
+        let runs = testbed.ledger.borrow().runs.get("second").cloned();
+        let runs = runs.unwrap_or_default();
+        assert!(runs.iter().all(|run| run.build == "v1"), "{runs:?}");
+        Ok(())
+    });
+}
