--- a/components/agent/src/daemon/server.rs
+++ b/components/agent/src/daemon/server.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
+use turn::Turn;
 use wire::Datagram;
 use wire::datagram::MAX_DATAGRAM_BYTES;
 
@@ -39,7 +40,9 @@
 pub fn spawn(daemon: &Rc<Daemon>, listener: TcpListener) {
     let accepting = daemon.clone();
     daemon.spawn(async move {
+        let mut turn = Turn::default();
         loop {
+            turn.proceed(0).await;
             match listener.accept().await {
                 Ok((stream, _)) => connections::spawn(&accepting, stream),
                 Err(_) => {
@@ -51,7 +54,9 @@
     let receiving = daemon.clone();
     daemon.spawn(async move {
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let mut turn = Turn::default();
         loop {
+            turn.proceed(0).await;
             let Ok((count, from)) = receiving.udp().recv_from(&mut buffer).await else {
                 smol::Timer::after(ACCEPT_PAUSE_MS).await;
                 continue;
--- a/components/entry/src/daemon/listeners.rs
+++ b/components/entry/src/daemon/listeners.rs
@@ -13,6 +13,7 @@
 use smol::Task;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
+use turn::Turn;
 use wire::Datagram;
 
 use crate::core::Event;
@@ -140,7 +141,9 @@
 
 async fn receive_datagrams(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+    let mut turn = Turn::default();
     loop {
+        turn.proceed(0).await;
         let Ok((bytes, from)) = socket.recv_from(&mut buffer).await else {
             smol::Timer::after(RECEIVE_PAUSE_MS).await;
             continue;
--- a/components/entry/src/daemon/peers.rs
+++ b/components/entry/src/daemon/peers.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
+use turn::Turn;
 use types::Incarnation;
 use types::Revision;
 use wire::End;
@@ -27,7 +28,9 @@
 
 /// Accepts connections from other entries.
 pub async fn accept(daemon: Rc<Daemon>, listener: TcpListener) {
+    let mut turn = Turn::default();
     loop {
+        turn.proceed(0).await;
         let Ok((stream, from)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE_MS).await;
             continue;
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -52,6 +52,8 @@
 
 /// Interval of checks for expired peers and targets.
 const TICK_MS: Duration = Duration::from_millis(100);
+/// Delay of a timer from which it is logged; requests wait as long.
+const LOGGED_DELAY_MS: Duration = Duration::from_millis(250);
 /// Connect timeout for targets; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT_MS: Duration = Duration::from_millis(400);
 /// Time that an idle connection to a target is kept. Targets close theirs after some seconds.
@@ -167,8 +169,10 @@
 
 async fn tick(daemon: Rc<Daemon>) {
     loop {
-        Timer::after(TICK_MS).await;
+        let due = daemon.clock.now() + TICK_MS;
+        Timer::at(due).await;
         let now = daemon.clock.now();
+        record_delay(&daemon, now.saturating_duration_since(due));
         let is_polling_process = {
             let mut core = daemon.core.borrow_mut();
             core.tick(now);
@@ -180,6 +184,16 @@
     }
 }
 
+/// Records how late a timer was, as other tasks kept the thread or the process did not run.
+fn record_delay(daemon: &Rc<Daemon>, delay_ms: Duration) {
+    MetricsRecorder::record_delay(delay_ms);
+    if delay_ms >= LOGGED_DELAY_MS {
+        daemon.log_event(LogEvent::TasksDelayed {
+            delay_ms: u64::try_from(delay_ms.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+}
+
 async fn reload_settings(
     daemon: Rc<Daemon>,
     mut signals: Signals,
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -18,6 +18,7 @@
 use smallvec::SmallVec;
 use smol::Timer;
 use smol::net::UdpSocket;
+use turn::Turn;
 use types::HostName;
 use types::Incarnation;
 
@@ -143,7 +144,9 @@
 
 async fn receive(daemon: Rc<Daemon>, socket: UdpSocket) {
     let mut bytes = [0; MESSAGE_LIMIT_BYTES];
+    let mut turn = Turn::default();
     loop {
+        turn.proceed(0).await;
         match socket.recv_from(&mut bytes).await {
             Ok((count, sender)) => handle_message(&daemon, &bytes[..count], sender),
             Err(error) => {
@@ -400,7 +403,9 @@
             return;
         }
     };
+    let mut turn = Turn::default();
     for address in to {
+        turn.proceed(bytes.len()).await;
         // A failure to send is handled like a lost datagram.
         let _ = socket.send_to(&bytes, address).await;
     }
--- a/components/gateway/src/daemon/recorder.rs
+++ b/components/gateway/src/daemon/recorder.rs
@@ -1,5 +1,6 @@
 //! Metrics in Prometheus text form.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use metrics::counter;
@@ -36,6 +37,11 @@
         self.handle.run_upkeep();
     }
 
+    /// Records how late a timer was.
+    pub(super) fn record_delay(delay_ms: Duration) {
+        histogram!("chervilspool_task_delay_seconds").record(delay_ms.as_secs_f64());
+    }
+
     /// Updates the metrics for a log event.
     pub(super) fn record(event: &LogEvent) {
         match event {
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -281,6 +281,8 @@
             "step" => step, "call" => call, "expected_ms" => expected_ms,
             "waiting_ms" => waiting_ms, "running" => running, "new_tokens" => new_tokens,
             "retries" => retries),
+        LogEvent::TasksDelayed { delay_ms } => warn!(logger, "tasks delayed";
+            "code" => "CS5011", "delay_ms" => delay_ms),
         LogEvent::PauseBegun { target, pause_ms } => {
             info!(logger, "target asked for a pause";
                 "code" => "CS5112", "target" => truncated(target), "pause_ms" => pause_ms);
--- a/components/gateway/src/log_event.rs
+++ b/components/gateway/src/log_event.rs
@@ -112,6 +112,11 @@
         /// Limit before and now.
         change: LimitChange,
     },
+    /// A timer was late, as other tasks kept the thread or the process did not run.
+    TasksDelayed {
+        /// By how much.
+        delay_ms: u64,
+    },
     /// A target refused a request and asked for a pause. It ends by itself.
     PauseBegun {
         /// Name of the target.
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,7 @@
 use rustix::net::sockopt;
 use smol::Timer;
 use smol::net::TcpStream;
+use turn::Turn;
 
 use crate::budget::ByteBudget;
 use crate::error::ClientError;
@@ -277,6 +279,7 @@
     input: &mut Vec<u8>,
 ) -> Result<bool, (ClientError, bool)> {
     let mut written = 0;
+    let mut turn = Turn::default();
     let failed = |written: usize, error: ClientError| {
         if written == 0 {
             (ClientError::not_sent(error.detail()), true)
@@ -287,8 +290,12 @@
     let closed = || ClientError::closed("the connection was closed before the whole request");
     poll_fn(|cx| {
         while written < bytes.len() {
+            ready!(turn.poll_proceed(cx));
             match Pin::new(&mut connection.stream).poll_write(cx, &bytes[written..]) {
-                Poll::Ready(Ok(count)) if count > 0 => written += count,
+                Poll::Ready(Ok(count)) if count > 0 => {
+                    written += count;
+                    turn.spend(count);
+                }
                 Poll::Ready(Ok(_)) => return Poll::Ready(Err(failed(written, closed()))),
                 Poll::Ready(Err(error)) => {
                     let error = ClientError::connection_failed(&error);
--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -7,12 +7,9 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use futures_lite::AsyncReadExt;
-use futures_lite::FutureExt;
 use futures_lite::future::poll_fn;
 use futures_lite::future::poll_once;
 use http_types::Method;
-use smol::Timer;
 use smol::channel::Receiver;
 use types::RunState;
 
@@ -312,15 +309,10 @@
 
 async fn lingering_close(exchange: &mut Exchange) {
     let _ = exchange.stream.shutdown(Shutdown::Write);
-    let drain = async {
-        let mut discarded = vec![0; 16 << 10];
-        while matches!(exchange.stream.read(&mut discarded).await, Ok(count) if count > 0) {}
-    };
-    drain
-        .or(async {
-            Timer::after(LINGER_MS).await;
-        })
-        .await;
+    exchange.watchdog.set(LINGER_MS);
+    while matches!(read_more(exchange, None).await, ReadOutcome::Data) {
+        exchange.input.clear();
+    }
 }
 
 fn head_problem(error: &HeadError) -> Problem {
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::task::Poll;
+use std::task::ready;
 
 use async_h1::server::Encoder;
 use futures_lite::AsyncReadExt;
@@ -19,6 +20,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use smol::net::TcpStream;
+use turn::Turn;
 
 use crate::budget::ByteBudget;
 use crate::budget::Reservation;
@@ -59,6 +61,8 @@
     buffered_bodies: ByteBudget,
     output: Vec<u8>,
     reader: SocketReader,
+    /// Turn of the task as a writer.
+    turn: Turn,
 }
 
 impl Exchange {
@@ -80,6 +84,7 @@
             is_closing: false,
             buffered_bodies,
             output: Vec::new(),
+            turn: Turn::default(),
         }
     }
 
@@ -254,13 +259,16 @@
         let mut written = 0;
         let result = poll_fn(|cx| {
             while written < self.output.len() {
+                ready!(self.turn.poll_proceed(cx));
                 match Pin::new(&mut self.stream).poll_write(cx, &self.output[written..]) {
                     Poll::Ready(Ok(count)) if count > 0 => {
                         written += count;
+                        self.turn.spend(count);
                         self.watchdog.clear();
                     }
                     Poll::Ready(_) => return Poll::Ready(Err(HungUp)),
                     Poll::Pending => {
+                        self.turn.renew();
                         if !self.watchdog.is_set() {
                             self.watchdog.set(self.limits.write_stall_ms);
                         }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -16,6 +16,7 @@
 use smol::channel::Receiver;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
+use turn::Turn;
 
 use crate::budget::ByteBudget;
 use crate::connection;
@@ -84,10 +85,12 @@
     let buffered_bodies = ByteBudget::new(limits.buffered_bodies_limit_bytes);
     let (guard, guards_dropped) = smol::channel::bounded::<()>(1);
     let mut accepted_after_stop = 0;
+    let mut turn = Turn::default();
     while accepted_after_stop < STOP_ACCEPT_LIMIT
         && let Some(accepted) = accept_or_stop(&listener, &stop).await
     {
         accepted_after_stop += usize::from(stop.is_closed());
+        turn.proceed(0).await;
         let Ok((stream, peer)) = accepted else {
             Timer::after(ACCEPT_RETRY_DELAY_MS).await;
             continue;
--- a/components/http/src/socket_reader.rs
+++ b/components/http/src/socket_reader.rs
@@ -10,6 +10,7 @@
 
 use smol::Async;
 use smol::net::TcpStream;
+use turn::Turn;
 
 /// Read half of a connection, which reads the socket only when it may be readable.
 ///
@@ -21,6 +22,7 @@
     socket: Arc<Async<StdStream>>,
     /// The last read emptied the socket; the reactor reports when it is readable again.
     is_drained: bool,
+    turn: Turn,
 }
 
 impl SocketReader {
@@ -28,23 +30,31 @@
         Self {
             socket: stream.clone().into(),
             is_drained: false,
+            turn: Turn::default(),
         }
     }
 
     /// Makes the next read try the socket.
     pub(crate) fn assume_readable(&mut self) {
         self.is_drained = false;
+        self.turn.renew();
     }
 
-    /// Reads the available bytes; returns 0 at the end of the stream.
+    /// Reads the available bytes; returns 0 at the end of the stream. Pending, too, at the end of the
+    /// task's turn.
     pub(crate) fn poll_read(
         &mut self,
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.turn.poll_proceed(cx));
         loop {
             if self.is_drained {
-                ready!(self.socket.poll_readable(cx))?;
+                let readable = self.socket.poll_readable(cx);
+                if readable.is_pending() {
+                    self.turn.renew();
+                }
+                ready!(readable)?;
             }
             match self.socket.get_ref().read(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.is_drained = true,
@@ -52,6 +62,7 @@
                 result => {
                     // The end of the stream counts as an empty socket; it stays readable.
                     self.is_drained = result.as_ref().is_ok_and(|count| *count < buffer.len());
+                    self.turn.spend(result.as_ref().map_or(0, |count| *count));
                     return Poll::Ready(result);
                 }
             }
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -13,6 +13,7 @@
 use futures_lite::AsyncWriteExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use turn::Turn;
 
 use crate::error::WireError;
 use crate::frame::ConnectionNonce;
@@ -73,6 +74,7 @@
     stream: R,
     frames: FrameReader,
     buffer: Vec<u8>,
+    turn: Turn,
 }
 
 /// Sending half of a session.
@@ -80,6 +82,7 @@
     stream: W,
     frames: FrameWriter,
     buffer: Vec<u8>,
+    turn: Turn,
 }
 
 /// Performs the handshake. It has no timeout of its own.
@@ -114,11 +117,13 @@
         stream: stream.clone(),
         frames: FrameReader::new(keys.clone(), nonce, peer_direction),
         buffer: vec![0; READ_BYTES],
+        turn: Turn::default(),
     };
     let writer = SessionWriter {
         stream,
         frames: FrameWriter::new(keys.clone(), nonce, own_direction),
         buffer: Vec::new(),
+        turn: Turn::default(),
     };
     Ok((reader, writer))
 }
@@ -132,10 +137,12 @@
     /// be closed.
     pub async fn next_message<M: DeserializeOwned>(&mut self) -> Result<Option<M>, SessionError> {
         loop {
+            self.turn.proceed(0).await;
             if let Some(message) = self.frames.next_message()? {
                 return Ok(Some(message));
             }
             let bytes = self.stream.read(&mut self.buffer).await?;
+            self.turn.spend(bytes);
             if bytes == 0 && self.frames.buffered_bytes() == 0 {
                 return Ok(None);
             }
@@ -174,6 +181,7 @@
             {
                 self.frames.write(&message, &mut self.buffer)?;
             }
+            self.turn.proceed(self.buffer.len()).await;
             self.flush().await?;
         }
         Ok(())
--- a/examples/chaos/main.rs
+++ b/examples/chaos/main.rs
@@ -78,12 +78,11 @@
     let before = load.take_goodput();
 
     let mut faults = Faults::new(options.seed, deployment.clone());
-    faults
-        .inject(
-            Duration::from_secs(options.seconds),
-            options.only.as_deref(),
-        )
-        .await?;
+    let injected = faults.inject(
+        Duration::from_secs(options.seconds),
+        options.only.as_deref(),
+    );
+    Box::pin(injected).await?;
     faults.end_all().await?;
     Timer::after(RECOVERY_MS).await;
     load.take_goodput();
--- a/tests/raw_engines.rs
+++ b/tests/raw_engines.rs
@@ -4,6 +4,9 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -342,3 +345,81 @@
         Ok(())
     });
 }
+
+/// Time that callers wait for a stream without end.
+const ENDLESS_STREAM_MS: u64 = 3_000;
+
+/// Begins a stream, and reads it until the connection is closed.
+fn read_endless_stream(callers: SocketAddr) -> std::io::Result<usize> {
+    let mut stream = std::net::TcpStream::connect(callers)?;
+    stream.set_nodelay(true)?;
+    let head = format!(
+        "POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: endless\r\n\
+         X-Deadline-Ms: {ENDLESS_STREAM_MS}\r\nX-Token-Counts: 400,35\r\n\
+         X-Prompt-Prefix: 5c1e:360,7:40\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    let mut buffer = vec![0; 1 << 20];
+    let mut total = 0;
+    while let Ok(count) = stream.read(&mut buffer)
+        && count > 0
+    {
+        total += count;
+    }
+    Ok(total)
+}
+
+/// Sends an event again and again, on each connection until it is closed.
+fn serve_endless_streams(listener: &std::net::TcpListener) {
+    let chunks = "20\r\ndata: xxxxxxxxxxxxxxxxxxxxxxxx\n\n\r\n".repeat(2_000);
+    while let Ok((mut stream, _)) = listener.accept() {
+        let _ = stream.set_nodelay(true);
+        let mut head = Vec::new();
+        let mut buffer = [0; 1024];
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read(&mut buffer) {
+                Ok(count) if count > 0 => head.extend_from_slice(&buffer[..count]),
+                _ => break,
+            }
+        }
+        let start = stream_head(&String::from_utf8_lossy(&head));
+        let start = start.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let mut sent = stream.write_all(start.as_bytes());
+        while sent.is_ok() {
+            sent = stream.write_all(chunks.as_bytes());
+        }
+    }
+}
+
+// One stream without end, and its gateway answered nobody until the deadline of that stream.
+#[test]
+fn gateway_answers_others_while_a_stream_has_no_end() {
+    with_gateway("raw-busy", async |mut testbed| {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        // The peers have threads of their own, so that the gateway is the only one that can fall
+        // behind.
+        std::thread::spawn(move || serve_endless_streams(&listener));
+        for name in ["read-1", "read-2", "write-2", "write-3"] {
+            testbed.unregister(name);
+        }
+        testbed.set_address("write-1", address);
+        testbed.register("write-1", "ready");
+        Timer::after(CHANGE_MS).await;
+        let callers = testbed.gateways[0].callers;
+        let caller = std::thread::spawn(move || read_endless_stream(callers));
+        Timer::after(Duration::from_millis(300)).await;
+        for number in 0..20 {
+            let response = request(&testbed, &format!("r{number}"), "/read/1").await?;
+            assert_eq!(u16::from(response.status), 200);
+            assert!(testbed.is_ready(0).await, "no answer to the load balancer");
+        }
+        assert!(
+            !caller.is_finished(),
+            "the requests were answered only after the stream"
+        );
+        let read = caller.join().expect("the caller does not panic")?;
+        assert!(read > 1 << 20, "the stream had {read} bytes");
+        Ok(())
+    });
+}
