--- a/components/testbed/src/gateways.rs
+++ b/components/testbed/src/gateways.rs
@@ -520,12 +520,28 @@
     }
     if let Some(tokens) = test_request.tokens {
         request.insert_header("x-token-counts", format!("{tokens},35"));
-        let shared = tokens - tokens / 10;
-        let own = tokens / 10;
-        let part = test_request.part;
-        let part = part.map_or_else(String::new, |part| format!("{part}:16,"));
-        let parts = format!("5c1e:{shared},{part}{:x}:{own}", tokens + 7);
-        request.insert_header("x-prompt-prefix", parts);
+        request.insert_header("x-prompt-prefix", prompt_parts(tokens, test_request.part));
     }
     client.send_buffered(request).await
 }
+
+/// Head of a prompt on a connection that closes after its answer, for callers that read the bytes of
+/// the answer themselves.
+#[must_use]
+pub fn prompt_head(id: &str, path: &str, timeout_ms: Duration, tokens: u32) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
+         X-Token-Counts: {tokens},35\r\nX-Prompt-Prefix: {}\r\nContent-Length: 0\r\n\
+         Connection: close\r\n\r\n",
+        timeout_ms.as_millis(),
+        prompt_parts(tokens, None)
+    )
+}
+
+/// Parts of a prompt: a shared one of nine tenths, `part` if there is one, and the request's own.
+fn prompt_parts(tokens: u32, part: Option<&str>) -> String {
+    let own = tokens / 10;
+    let shared = tokens - own;
+    let part = part.map_or_else(String::new, |part| format!("{part}:16,"));
+    format!("5c1e:{shared},{part}{:x}:{own}", tokens + 7)
+}
--- a/components/testbed/src/raw_engine.rs
+++ b/components/testbed/src/raw_engine.rs
@@ -59,6 +59,13 @@
     )
 }
 
+/// The same for an answer in chunks.
+#[must_use]
+pub fn chunked_stream_head(head: &str) -> String {
+    let fields = stream_head(head);
+    fields.trim_end().to_owned() + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
 /// Head of an answer that states that the request has not run.
 #[must_use]
 pub fn refusal_head(head: &str, length: usize) -> String {
