--- a/components/builds/src/lib.rs
+++ b/components/builds/src/lib.rs
@@ -6,12 +6,12 @@
 //! that does not know a stream asks them. Messages do not grow with the number of processes.
 //!
 //! What is not known is never guessed: [`Directory::get`] returns a build only if it was told by
-//! the process that began the stream, and nothing if two processes told different ones. Entries are
-//! kept for [`LIFETIME_MS`]. The crate does no I/O and reads no clock.
+//! the process that began the stream, and nothing if two processes told different ones. That the
+//! targets of a service have a single build now says nothing about a stream that began before this
+//! process knew them. Entries are kept for [`LIFETIME_MS`]. The crate does no I/O and reads no clock.
 
 mod directory;
 mod holders;
-mod seen;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,7 +23,6 @@
 pub use crate::holders::asked;
 pub use crate::holders::holders;
 pub use crate::holders::stream_key;
-pub use crate::seen::SeenBuilds;
 
 /// Build of a target's software, not of the weights that it has loaded.
 pub type Build = String;
--- a/components/gateway/src/core/builds.rs
+++ b/components/gateway/src/core/builds.rs
@@ -13,25 +13,25 @@
 use crate::core::decision::RefusalCause;
 use crate::deployment::RetryPolicy;
 use crate::deployment::Route;
-use crate::deployment::TargetEntry;
 use crate::log_event::LogEvent;
 use crate::protocol::CallerRequest;
 
 impl Core {
-    /// Where the stream that a request resumes began; `None` if the request begins one.
+    /// Where the stream that a request resumes began; `None` if the request begins one. A caller that
+    /// names the stream resumes it, also on a route that allowed that only before.
     pub(super) fn resumed_origin(
         &self,
         now: Instant,
         route: &Route,
         request: &CallerRequest,
     ) -> Result<Option<Origin>, RefusalCause> {
-        if request.resume_after.is_none() || route.retry_policy != RetryPolicy::Resumable {
+        let began = request.resumed_request.as_deref();
+        let is_resumable = route.retry_policy == RetryPolicy::Resumable;
+        if request.resume_after.is_none() || (!is_resumable && began.is_none()) {
             return Ok(None);
         }
-        let began = request.resumed_request.as_deref().map(stream_key);
-        let known = began.and_then(|key| self.origins.get(now, key)).cloned();
-        let origin = known.or_else(|| self.only_origin(now, route));
-        let origin = origin.ok_or(RefusalCause::UnknownBuild)?;
+        let origin = began.and_then(|began| self.origins.get(now, stream_key(began)));
+        let origin = origin.cloned().ok_or(RefusalCause::UnknownBuild)?;
         let is_served = route
             .split
             .iter()
@@ -43,20 +43,6 @@
         }
     }
 
-    /// Origin of all streams of a route, if it has one service with one build.
-    fn only_origin(&self, now: Instant, route: &Route) -> Option<Origin> {
-        let [split] = route.split.as_slice() else {
-            return None;
-        };
-        let is_current = self.fleet.is_list_current();
-        self.seen_builds.only(now, &split.service, is_current)
-    }
-
-    pub(super) fn record_build(&mut self, entry: &TargetEntry) {
-        self.seen_builds
-            .record(&entry.service, entry.build.as_ref());
-    }
-
     /// Records that the first event of a stream has come from the target of the current call.
     pub(super) fn record_origin(&mut self, now: Instant, number: RequestNumber) {
         let Some(active) = self.requests.get_mut(&number) else {
--- a/components/gateway/src/core/mod.rs
+++ b/components/gateway/src/core/mod.rs
@@ -23,7 +23,6 @@
 
 use ::builds::Directory;
 use ::builds::Notice;
-use ::builds::SeenBuilds;
 use ::limits::Returns;
 use freshness::View;
 use quarantine::Quarantine;
@@ -121,7 +120,6 @@
     cancelled: Vec<RequestNumber>,
     returns: HashMap<ServiceName, Returns>,
     origins: Directory,
-    seen_builds: SeenBuilds,
     origin_notices: Vec<Notice>,
 }
 
@@ -154,7 +152,6 @@
             cancelled: Vec::new(),
             returns: HashMap::new(),
             origins: Directory::default(),
-            seen_builds: SeenBuilds::new(now),
             origin_notices: Vec::new(),
         }
     }
@@ -220,7 +217,6 @@
                 self.view.check(now.checked_sub(age_ms).unwrap_or(now));
             }
             DeploymentUpdate::TargetWritten(entry) => {
-                self.record_build(&entry);
                 let name = entry.name.clone();
                 let change = self.fleet.write_entry(entry);
                 self.log_target_change(name, change);
@@ -231,9 +227,6 @@
             }
             DeploymentUpdate::TargetSnapshot(entries) => {
                 self.has_targets = true;
-                for entry in &entries {
-                    self.record_build(entry);
-                }
                 for (name, change) in self.fleet.replace_entries(now, entries) {
                     self.log_target_change(name, Some(change));
                 }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -248,13 +248,6 @@
         usable
     }
 
-    /// Whether the store is available and some peer is heard, if there are peers, so that a change of
-    /// the list of targets would be known here.
-    #[must_use]
-    pub fn is_list_current(&self) -> bool {
-        self.store == StoreState::Available && self.peers.is_any_heard()
-    }
-
     /// Keeps targets whose entries go missing, until the grace period after the outage ends.
     pub fn set_store_unavailable(&mut self) {
         self.store = StoreState::Unavailable;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -106,12 +106,6 @@
         }
     }
 
-    /// Whether a peer is heard, or there are none.
-    #[must_use]
-    pub fn is_any_heard(&self) -> bool {
-        self.by_host.is_empty() || self.heard_count() > 0
-    }
-
     /// Hosts of the peers that have not timed out.
     pub fn heard(&self) -> impl Iterator<Item = &HostName> {
         let heard = self.by_host.iter().filter(|(_, peer)| peer.loads.is_some());
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -249,3 +249,98 @@
         Ok(())
     });
 }
+
+/// What becomes of the engines of the build that began the streams, while all gateways are down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OldBuild {
+    Gone,
+    Serves,
+    Leaves,
+}
+
+/// Begins streams at build v1, kills all gateways at once, and takes the streams up again at once and
+/// later. Returns how many went on.
+async fn take_up_after_all_gateways_were_killed(
+    testbed: &mut GatewayTestbed,
+    fate: OldBuild,
+) -> eyre::Result<usize> {
+    let mut begun = Vec::new();
+    break_streams(testbed, Some("v1"));
+    for number in 0..STREAMS / 2 {
+        let id = format!("{fate:?}{number}");
+        let _ = stream(testbed, number % 3, &id, None).await;
+        let runs = testbed.ledger.borrow().runs.get(&id).cloned();
+        if runs.is_some_and(|runs| runs.iter().all(|run| run.build == "v1")) {
+            begun.push(id);
+        }
+    }
+    eyre::ensure!(!begun.is_empty(), "no stream began at v1");
+    // Each one that is refused takes the time for which peers are asked.
+    begun.truncate(STREAMS / 4);
+    for gateway in &mut testbed.gateways {
+        gateway.process.kill();
+    }
+    break_streams(testbed, None);
+    let old: Vec<String> = {
+        let engines = testbed.engines.iter().map(|(engine, _)| engine);
+        let old = engines.filter(|engine| *engine.build.borrow() == "v1");
+        old.filter(|engine| engine.stage != standin::staged_engine::Stage::Plain)
+            .map(|engine| engine.name.clone())
+            .collect()
+    };
+    let leave = |testbed: &GatewayTestbed| {
+        for name in &old {
+            testbed.unregister(name);
+        }
+    };
+    if fate == OldBuild::Gone {
+        leave(testbed);
+    }
+    for gateway in &mut testbed.gateways {
+        gateway.process.restart()?;
+    }
+    for number in 0..testbed.gateways.len() {
+        testbed.wait_until_ready(number).await?;
+    }
+    let mut went_on = 0;
+    for round in 0..3 {
+        for (number, id) in begun.iter().enumerate() {
+            let from = Some((id.as_str(), EVENTS_BEFORE_BREAK));
+            let answer = stream(testbed, number % 3, &format!("{id}r{round}"), from).await;
+            went_on += usize::from(answer.is_some());
+        }
+        if fate == OldBuild::Leaves {
+            leave(testbed);
+        }
+        Timer::after(PEERING_MS / 2).await;
+    }
+    for name in &old {
+        testbed.register(name, "ready");
+    }
+    Timer::after(PEERING_MS).await;
+    Ok(went_on)
+}
+
+// Operators of a similar system: many take-ups after a kill of all gateways were joined from two
+// builds, and looked complete.
+#[test]
+fn stream_is_not_taken_up_at_another_build_after_all_gateways_were_killed() {
+    with_gateways("builds-all-killed", 3, async |mut testbed| {
+        add_second_build(&mut testbed).await?;
+        for fate in [OldBuild::Gone, OldBuild::Serves, OldBuild::Leaves] {
+            let went_on = take_up_after_all_gateways_were_killed(&mut testbed, fate).await?;
+            let mixed = testbed.ledger.borrow().streams_across_builds();
+            assert!(
+                mixed.is_empty(),
+                "{fate:?}: streams of two builds: {mixed:?}"
+            );
+            if fate == OldBuild::Gone {
+                assert_eq!(
+                    went_on, 0,
+                    "streams went on without an engine of their build"
+                );
+            }
+        }
+        Ok(())
+    });
+}
