--- a/components/gateway/src/core/active.rs
+++ b/components/gateway/src/core/active.rs
@@ -56,6 +56,9 @@
             runs: 0.0,
         };
         fleet.remove_load(now, &self.target, self.key, finished);
+        if !fleet.is_running(&self.target, self.key) {
+            return;
+        }
         let took = now.saturating_duration_since(self.started);
         let took_ms = took.as_secs_f64() * 1e3;
         fleet.record_prefill_time(&self.target, prefill_ms, self.waiting_ms, took_ms);
--- a/components/gateway/src/core/conclude.rs
+++ b/components/gateway/src/core/conclude.rs
@@ -73,6 +73,34 @@
         outcome: &CallOutcome,
     ) {
         let took = now.saturating_duration_since(call.started);
+        // What an earlier process did says nothing of the one that has its name now.
+        if self.fleet.is_running(&call.target, call.key) {
+            self.record_health(now, active, call, outcome, took);
+        }
+        if matches!(
+            outcome,
+            CallOutcome::Answered { .. } | CallOutcome::Abandoned
+        ) {
+            return;
+        }
+        self.log_events.push(LogEvent::CallEnded {
+            request: active.request.id.clone(),
+            target: call.target.clone(),
+            step: call.step,
+            kind: outcome.label(),
+            outcome: outcome.text(call.has_begun),
+            took_ms: millis(took),
+        });
+    }
+
+    fn record_health(
+        &mut self,
+        now: Instant,
+        active: &ActiveRequest,
+        call: &CurrentCall,
+        outcome: &CallOutcome,
+        took: Duration,
+    ) {
         let target = &call.target;
         if outcome.is_answered() {
             self.fleet.record_answer(target);
@@ -104,20 +132,6 @@
             }
             CallOutcome::NotRun { .. } | CallOutcome::Cancelled | CallOutcome::Abandoned => {}
         }
-        if matches!(
-            outcome,
-            CallOutcome::Answered { .. } | CallOutcome::Abandoned
-        ) {
-            return;
-        }
-        self.log_events.push(LogEvent::CallEnded {
-            request: active.request.id.clone(),
-            target: target.clone(),
-            step: call.step,
-            kind: outcome.label(),
-            outcome: outcome.text(call.has_begun),
-            took_ms: millis(took),
-        });
     }
 
     /// Whether a call failed as it does at a target whose process is gone: on a new connection
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -198,6 +198,12 @@
         self.targets.get(name)
     }
 
+    /// Whether a target is still the process with this key.
+    #[must_use]
+    pub fn is_running(&self, name: &str, key: TargetKey) -> bool {
+        self.get(name).is_some_and(|state| state.key == key)
+    }
+
     /// All targets, including those that are draining or unhealthy.
     pub fn targets(&self) -> impl Iterator<Item = &TargetState> {
         self.targets.values()
--- a/components/gateway/tests/health.rs
+++ b/components/gateway/tests/health.rs
@@ -11,11 +11,14 @@
 use common::core;
 use common::plain;
 use common::prompt;
+use common::target;
 use gateway::core::CallOutcome;
 use gateway::core::Core;
 use gateway::core::Decision;
+use gateway::deployment::DeploymentUpdate;
 use gateway::protocol::PrefillResult;
 use gateway::protocol::Step;
+use types::Role;
 
 /// Time in which a crashed engine resets a connection; no engine answers as soon.
 const RESET_MS: Duration = Duration::from_millis(5);
@@ -271,3 +274,40 @@
         .usable(&PLAIN_SERVICE.to_owned(), AllowedBuilds::Any, now);
     assert_eq!(usable.len(), keys.len());
 }
+
+// The calls that a crashed process had in flight took the process that has its name now out of use.
+#[test]
+fn lost_calls_of_an_earlier_process_do_not_count_against_the_one_with_its_name() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let mut lost = Vec::new();
+    for _ in 0..20 {
+        let (number, decision) = core.start(now, plain("/order/1"));
+        lost.push((number, call(decision).call.target));
+    }
+    for name in ["desk-1", "desk-2"] {
+        let mut entry = target(name, PLAIN_SERVICE, Role::Mixed);
+        entry.started_at_ms = 2;
+        core.apply_update(now, DeploymentUpdate::TargetWritten(entry));
+        assert!(
+            lost.iter().any(|(_, target)| target == name),
+            "{name} has no call"
+        );
+    }
+    for (number, _) in lost {
+        let outcome = CallOutcome::AnswerLost {
+            detail: "reset".to_owned(),
+            is_new_connection: true,
+            is_closed_by_target: true,
+        };
+        core.call_ended(now, number, outcome);
+    }
+    let targets = core.fleet.targets();
+    let of_service = targets.filter(|state| state.entry.service == PLAIN_SERVICE);
+    assert!(
+        of_service
+            .into_iter()
+            .all(|state| state.health.is_healthy(now))
+    );
+    assert!(core.take_unreachable_reports().is_empty());
+}
