--- a/components/entry/src/daemon/timer.rs
+++ b/components/entry/src/daemon/timer.rs
@@ -17,7 +17,11 @@
     loop {
         let wake = daemon.core.borrow().next_wake();
         daemon.next_tick_at.set(wake);
-        if wake <= daemon.clock.now() {
+        let now = daemon.clock.now();
+        if wake <= now {
+            // Other tasks kept the thread, or the process did not run.
+            let delay_ms = now.saturating_duration_since(wake);
+            metrics::histogram!("chervilspool_task_delay_seconds").record(delay_ms.as_secs_f64());
             daemon.handle_event(Event::Tick);
             // Lets other tasks run even while ticks are due continuously.
             smol::future::yield_now().await;
