--- a/components/builds/src/lib.rs
+++ b/components/builds/src/lib.rs
@@ -30,7 +30,7 @@
 /// At which builds a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AllowedBuilds<'a> {
-    /// At all; nothing of its answer has been made.
+    /// At any; its answer has not begun.
     Any,
     /// At the one that began its answer.
     Only(&'a Build),
