--- a/components/agent/src/daemon/server.rs
+++ b/components/agent/src/daemon/server.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
-use turn::Turn;
+use types::Turn;
 use wire::Datagram;
 use wire::datagram::MAX_DATAGRAM_BYTES;
 
--- a/components/entry/src/daemon/listeners.rs
+++ b/components/entry/src/daemon/listeners.rs
@@ -13,7 +13,7 @@
 use smol::Task;
 use smol::net::TcpListener;
 use smol::net::UdpSocket;
-use turn::Turn;
+use types::Turn;
 use wire::Datagram;
 
 use crate::core::Event;
--- a/components/gateway/src/daemon/peers.rs
+++ b/components/gateway/src/daemon/peers.rs
@@ -18,9 +18,9 @@
 use smallvec::SmallVec;
 use smol::Timer;
 use smol::net::UdpSocket;
-use turn::Turn;
 use types::HostName;
 use types::Incarnation;
+use types::Turn;
 
 use crate::core::Core;
 use crate::core::PrefillReport;
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -23,7 +23,7 @@
 use rustix::net::sockopt;
 use smol::Timer;
 use smol::net::TcpStream;
-use turn::Turn;
+use types::Turn;
 
 use crate::budget::ByteBudget;
 use crate::error::ClientError;
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -20,7 +20,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use smol::net::TcpStream;
-use turn::Turn;
+use types::Turn;
 
 use crate::budget::ByteBudget;
 use crate::budget::Reservation;
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -16,7 +16,7 @@
 use smol::channel::Receiver;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
-use turn::Turn;
+use types::Turn;
 
 use crate::budget::ByteBudget;
 use crate::connection;
--- a/components/http/src/socket_reader.rs
+++ b/components/http/src/socket_reader.rs
@@ -10,7 +10,7 @@
 
 use smol::Async;
 use smol::net::TcpStream;
-use turn::Turn;
+use types::Turn;
 
 /// Read half of a connection, which reads the socket only when it may be readable.
 ///
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -1,7 +1,7 @@
 //! Data types shared by the components: ids, time, profiles, targets, orders, requests and load.
 //!
 //! This crate does no I/O and holds no state. It contains only types that at least two components
-//! exchange.
+//! exchange or have in common.
 
 pub mod change;
 pub mod clock;
@@ -13,6 +13,7 @@
 pub mod reply;
 pub mod service;
 pub mod target;
+pub mod turn;
 pub mod work;
 
 pub use change::Change;
@@ -56,6 +57,7 @@
 pub use target::Role;
 pub use target::Target;
 pub use target::TargetState;
+pub use turn::Turn;
 pub use work::Method;
 pub use work::Submission;
 pub use work::Work;
--- a/components/turn/src/lib.rs
+++ b/components/types/src/turn.rs
@@ -4,6 +4,9 @@
 //! socket does not wait while its peer sends, or takes, bytes faster than the loop handles them. So
 //! whatever reads or writes a socket in a loop uses up a [`Turn`], and gives the thread back at its
 //! end.
+//!
+//! It is in this crate because `http`, which uses it, has users with lock files of their own
+//! (`review/kit`): a new crate among its dependencies would keep these from being built.
 
 use std::future::poll_fn;
 use std::task::Context;
--- a/components/turn/tests/turn.rs
+++ b/components/types/tests/turn.rs
@@ -3,7 +3,7 @@
 use futures_lite::future;
 use futures_lite::future::or;
 use futures_lite::future::yield_now;
-use turn::Turn;
+use types::Turn;
 
 /// Times that another task runs while one handles `operations` of `bytes` each.
 fn turns_of_another_task(operations: usize, bytes: usize) -> usize {
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -13,7 +13,7 @@
 use futures_lite::AsyncWriteExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use turn::Turn;
+use types::Turn;
 
 use crate::error::WireError;
 use crate::frame::ConnectionNonce;
