--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -36,9 +36,6 @@
     Remove(PartId),
 }
 
-/// Most shared parts of a prompt that are looked at.
-const SHARED_PARTS_LIMIT: usize = 7;
-
 /// By what a request may crash engines: the parts of its prompt that other requests may share, which
 /// are all but the last one, and the request as a whole.
 pub(super) fn possible_causes(
@@ -47,7 +44,7 @@
 ) -> SmallVec<[PartId; 4]> {
     let parts = work.map_or(&[][..], |work| work.parts.as_slice());
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let shared = shared.iter().take(SHARED_PARTS_LIMIT).map(|part| part.id);
+    let shared = shared.iter().map(|part| part.id);
     shared.chain([fingerprint]).collect()
 }
 
--- a/components/gateway/tests/query_of_death.rs
+++ b/components/gateway/tests/query_of_death.rs
@@ -90,6 +90,30 @@
     assert!(crashes <= CRASH_LIMIT, "{crashes} crashes");
 }
 
+// Issue 38, review/5: only the first seven shared parts were looked at, and the sound ones among
+// them were refused instead of the deadly part after them.
+#[test]
+fn deadly_part_behind_many_sound_ones_reaches_no_engine_after_three_crashes() {
+    for depth in [7, 31, 63] {
+        let start = Instant::now();
+        let mut core = core(start);
+        let sound: Vec<PartId> = (0..depth).map(|part| SHARED + part).collect();
+        let with_deadly: Vec<PartId> = sound.iter().copied().chain([DEADLY]).collect();
+        let mut crashes = 0;
+        for number in 0..40_u32 {
+            let now = start + INTERVAL_MS * number;
+            let deadly = request("/draft/1", &with_deadly, u64::from(number) + 1_000);
+            let sound = request("/draft/1", &sound, number.into());
+            serve(&mut core, now, sound);
+            crashes += serve(&mut core, now, deadly).len();
+        }
+        assert!(crashes <= CRASH_LIMIT, "depth {depth}: {crashes} crashes");
+        let now = start + INTERVAL_MS * 40;
+        let (_, decision) = core.start(now, request("/draft/1", &sound, 41));
+        assert!(matches!(decision, Decision::Call(_)), "depth {depth}");
+    }
+}
+
 // Issue 22: the retries of a resumable stream carried the part to the next engine.
 #[test]
 fn stream_that_no_engine_has_begun_is_not_retried_with_a_suspect_part() {
--- a/components/quarantine/src/causes.rs
+++ b/components/quarantine/src/causes.rs
@@ -58,6 +58,8 @@
     pub(crate) quarantined: BTreeMap<PartId, Crashes>,
     /// Other parts that may have crashed a process.
     pub(crate) suspects: BTreeSet<PartId>,
+    /// Parts beside which a process has crashed since they were last sound.
+    pub(crate) candidates: BTreeSet<PartId>,
 }
 
 /// A part that may be the cause of a crash.
@@ -92,7 +94,11 @@
                 }
             }
         }
-        let mut causes = Self::default();
+        let candidates = crashes.values().flatten();
+        let mut causes = Self {
+            candidates: candidates.map(|candidate| candidate.part).collect(),
+            ..Self::default()
+        };
         while let Some((part, weight)) = likeliest(&crashes) {
             if weight < QUARANTINE_WEIGHT {
                 break;
@@ -162,12 +168,11 @@
 fn weights(crashes: &Candidates) -> BTreeMap<PartId, Rank> {
     let mut weights: BTreeMap<PartId, Rank> = BTreeMap::new();
     for candidates in crashes.values() {
-        let mut counted: SmallVec<[PartId; 8]> = SmallVec::new();
+        let mut counted = BTreeSet::new();
         for candidate in candidates {
-            if counted.contains(&candidate.part) {
+            if !counted.insert(candidate.part) {
                 continue;
             }
-            counted.push(candidate.part);
             let rank = weights.entry(candidate.part).or_default();
             let is_likely = candidate.crash.is_likely;
             if is_likely || !candidate.was_sound {
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -1,5 +1,6 @@
 //! Evidence for and against prompt parts as the cause of crashes.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,14 +10,20 @@
 use crate::ProcessKey;
 use crate::recent::RecentTimes;
 
-/// Maximum number of crash reports; the oldest is dropped that no other one confirms.
+/// Maximum number of crash reports, and of parts in all of them; the oldest is dropped that no other
+/// one confirms.
 const REPORTS_LIMIT: usize = 64;
+const REPORTED_PARTS_LIMIT: usize = 512;
 /// Maximum number of reports of one crash under requests that are no likelier cause than others.
 const REPORTS_PER_PROCESS_LIMIT: usize = 8;
-/// Maximum number of parts of one prompt that are considered.
-const PARTS_LIMIT: usize = 8;
-/// Number of sound parts, and of processes that answered after a report, that are remembered.
-const SOUND_PARTS_LIMIT: usize = 4_096;
+/// Maximum number of parts of one prompt that are considered as the cause of a crash, so that a
+/// report fits into a datagram, and that are remembered as sound.
+pub(crate) const PARTS_LIMIT: usize = 64;
+/// Number of parts of one prompt that are considered although they were sound before.
+const SOUND_CAUSES_LIMIT: usize = 8;
+/// Number of sound parts, of sound requests, and of processes that answered after a report, that are
+/// remembered.
+const SOUND_PARTS_LIMIT: usize = 16_384;
 const SOUND_REQUESTS_LIMIT: usize = 4_096;
 const LIVE_PROCESSES_LIMIT: usize = 64;
 /// Time after which a crash report is dropped. Requests with the part may be rare.
@@ -48,6 +55,20 @@
     }
 }
 
+/// Processes that crashed beside each part that was never sound, up to two of them.
+#[derive(Debug, Default)]
+struct Confirmations(BTreeMap<PartId, SmallVec<[ProcessKey; 2]>>);
+
+impl Confirmations {
+    /// Whether another crash has a part in common with a report that was never sound.
+    fn confirm(&self, report: &CrashReport) -> bool {
+        report.possible_causes().any(|part| {
+            let mut others = self.0.get(&part).into_iter().flatten();
+            others.any(|process| *process != report.process)
+        })
+    }
+}
+
 /// All crash reports, and what contradicts them.
 #[derive(Debug)]
 pub(crate) struct Evidence {
@@ -72,42 +93,68 @@
 impl Evidence {
     /// Adds a report. Returns whether it is new and not contradicted already.
     pub(crate) fn add(&mut self, mut report: CrashReport) -> bool {
-        // Parts that were never sound are likelier causes.
-        if report.parts.len() > PARTS_LIMIT {
-            let mut parts = std::mem::take(&mut report.parts);
-            parts.sort_by_key(|part| self.last_sound(*part).is_some());
-            report.parts.extend(parts.into_iter().take(PARTS_LIMIT));
-        }
+        self.keep_likeliest_parts(&mut report.parts);
         let is_refuted = self.is_refuted(report.process, report.at);
         let is_empty = report.possible_causes().next().is_none();
         if is_empty || is_refuted || self.has(&report) {
             return false;
         }
-        if !report.is_likely && !self.is_confirmed(&report) {
+        let confirmations = self.confirmations();
+        let is_confirmed = |report: &CrashReport| confirmations.confirm(report);
+        if !report.is_likely && !is_confirmed(&report) {
             let of_process = self.reports.iter().filter(|known| {
-                known.process == report.process && !known.is_likely && !self.is_confirmed(known)
+                known.process == report.process && !known.is_likely && !is_confirmed(known)
             });
             if of_process.count() >= REPORTS_PER_PROCESS_LIMIT {
                 return false;
             }
         }
-        if self.reports.len() >= REPORTS_LIMIT {
+        let reported = self.reports.iter().map(|known| known.parts.len());
+        let mut parts = reported.sum::<usize>() + report.parts.len();
+        while self.reports.len() >= REPORTS_LIMIT
+            || (parts > REPORTED_PARTS_LIMIT && !self.reports.is_empty())
+        {
             let mut reports = self.reports.iter();
-            let unconfirmed = reports.position(|known| !self.is_confirmed(known));
-            self.reports.remove(unconfirmed.unwrap_or(0));
+            let unconfirmed = reports.position(|known| !is_confirmed(known));
+            let dropped = self.reports.remove(unconfirmed.unwrap_or(0));
+            parts -= dropped.parts.len();
         }
         self.reports.push(report);
         true
     }
 
-    /// Whether another crash has a part in common with a report that was never sound.
-    fn is_confirmed(&self, report: &CrashReport) -> bool {
-        let mut others = self.reports.iter();
-        others.any(|other| {
-            let is_shared = |cause: &PartId| report.possible_causes().any(|own| own == *cause);
-            let mut shared = other.possible_causes().filter(is_shared);
-            other.process != report.process && shared.any(|cause| self.last_sound(cause).is_none())
-        })
+    /// Of a long prompt, keeps the parts that were never sound, and some of those that have not been
+    /// sound for the longest time. Of too many that were never sound, the later ones are kept, which
+    /// fewer requests share.
+    fn keep_likeliest_parts(&self, parts: &mut SmallVec<[PartId; 4]>) {
+        if parts.len() <= SOUND_CAUSES_LIMIT {
+            return;
+        }
+        let never_sound = parts
+            .iter()
+            .filter(|part| self.last_sound(**part).is_none());
+        let count = never_sound.count().clamp(SOUND_CAUSES_LIMIT, PARTS_LIMIT);
+        let mut places: Vec<usize> = (0..parts.len()).rev().collect();
+        places.sort_by_key(|place| self.last_sound(parts[*place]));
+        places.truncate(count);
+        places.sort_unstable();
+        *parts = places.into_iter().map(|place| parts[place]).collect();
+    }
+
+    /// The processes that crashed beside each part that was never sound.
+    fn confirmations(&self) -> Confirmations {
+        let mut confirmations = Confirmations::default();
+        for report in &self.reports {
+            let causes = report.possible_causes();
+            for part in causes.filter(|part| self.last_sound(*part).is_none()) {
+                let processes = confirmations.0.entry(part).or_default();
+                // Two are enough to have another one for each process.
+                if processes.len() < 2 && !processes.contains(&report.process) {
+                    processes.push(report.process);
+                }
+            }
+        }
+        confirmations
     }
 
     fn has(&self, report: &CrashReport) -> bool {
--- a/components/quarantine/src/exchange.rs
+++ b/components/quarantine/src/exchange.rs
@@ -158,7 +158,9 @@
             part: *part,
             age_ms: age(*at),
         });
-        let mut crashes = chunks(crashes, notice::CRASHES_LIMIT);
+        let (short, long): (Vec<_>, Vec<_>) =
+            crashes.partition(|crash| crash.parts.len() <= notice::SHORT_REPORT_PARTS_LIMIT);
+        let mut crashes = chunks(short.into_iter(), notice::CRASHES_LIMIT);
         let mut records = chunks(
             records.filter_map(|part| self.record(now, *part)),
             notice::RECORDS_LIMIT,
@@ -177,7 +179,12 @@
             sound: sound.next().unwrap_or_default(),
             live: live.next().unwrap_or_default(),
         });
-        notices.collect()
+        let long = long.into_iter().map(|crash| Notice {
+            trials: trials.clone(),
+            crashes: vec![crash],
+            ..Notice::default()
+        });
+        notices.chain(long).collect()
     }
 
     fn is_notice_due(&self, now: Instant) -> bool {
--- a/components/quarantine/src/notice.rs
+++ b/components/quarantine/src/notice.rs
@@ -13,6 +13,8 @@
 /// Maximum numbers of items in one notice, so that it fits into a datagram with its envelope. An
 /// id takes up to 10 bytes.
 pub(crate) const TRIALS_LIMIT: usize = 8;
+/// Parts of a crash report that may be in a notice with other items; a longer one has its own.
+pub(crate) const SHORT_REPORT_PARTS_LIMIT: usize = 8;
 pub(crate) const CRASHES_LIMIT: usize = 4;
 pub(crate) const RECORDS_LIMIT: usize = 4;
 pub(crate) const SOUND_LIMIT: usize = 8;
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -16,6 +16,7 @@
 use crate::causes::weight;
 use crate::evidence::CrashReport;
 use crate::evidence::Evidence;
+use crate::evidence::PARTS_LIMIT;
 use crate::exchange::NOTICE_AGE_MS;
 
 /// Duration of a quarantine by the weight of the crashes, of which each counts twice if an answer
@@ -34,8 +35,6 @@
 /// Longest additional time for which a process refuses a part. It differs between processes, so that
 /// they do not all send a request at the end of a quarantine, before they hear of each other's.
 const SPREAD_MS: Duration = Duration::from_secs(2);
-/// Maximum number of parts of one prompt that are remembered as sound.
-const SOUND_PARTS_LIMIT: usize = 32;
 /// Maximum number of quarantined parts; the one that ends first is dropped.
 const ENTRIES_LIMIT: usize = 64;
 /// `Retry-After` of a request with a suspect part, while another one is on trial. Within that time
@@ -119,6 +118,8 @@
     /// Quarantined parts as last reported in `changes`, with the end of their quarantine.
     reported: BTreeMap<PartId, Instant>,
     suspects: BTreeSet<PartId>,
+    /// Parts of crash reports that no later answer contradicts.
+    candidates: BTreeSet<PartId>,
     pub(crate) own_trials: BTreeSet<PartId>,
     pub(crate) peer_trials: BTreeMap<SenderName, (Instant, Vec<PartId>)>,
     /// Sound parts and live processes to tell others of.
@@ -240,7 +241,7 @@
             if self.is_blamed(*part) {
                 has_cleared = true;
                 self.recent_sound.push((*part, now));
-            } else if at >= SOUND_PARTS_LIMIT {
+            } else if at >= PARTS_LIMIT {
                 continue;
             }
             self.evidence.record_sound(*part, now);
@@ -273,12 +274,7 @@
 
     /// Whether there is evidence against a part that no later answer contradicts.
     fn is_blamed(&self, part: PartId) -> bool {
-        let mut reports = self.evidence.reports().iter();
-        self.entries.contains_key(&part)
-            || reports.any(|report| {
-                report.possible_causes().any(|cause| cause == part)
-                    && !self.evidence.is_cleared(part, report.at)
-            })
+        self.entries.contains_key(&part) || self.candidates.contains(&part)
     }
 
     /// Drops what is too old to matter.
@@ -343,6 +339,7 @@
             });
         }
         self.suspects = causes.suspects;
+        self.candidates = causes.candidates;
         while self.entries.len() > ENTRIES_LIMIT {
             let first = self.entries.iter().min_by_key(|(_, entry)| entry.until);
             let Some(part) = first.map(|(part, _)| *part) else {
--- a/components/quarantine/tests/exchange.rs
+++ b/components/quarantine/tests/exchange.rs
@@ -214,6 +214,32 @@
     assert!(matches!(admission, Admission::Trial(_)), "{admission:?}");
 }
 
+// Issue 38: a report of a long prompt has to fit into a datagram.
+#[test]
+fn processes_learn_of_a_deadly_part_behind_many_others() {
+    let mut network = Network::start(2, 7, 0);
+    let prompt: Vec<u64> = (0..63)
+        .map(|part| u64::MAX - part)
+        .chain([DEADLY])
+        .collect();
+    for process in &mut network.processes {
+        process.sound(&prompt[..63]);
+    }
+    network.processes[0].crash(1, &prompt);
+    network.processes[1].crash(2, &prompt);
+    for process in &mut network.processes {
+        for notice in process.state.take_notices(process.now) {
+            let bytes = postcard::to_stdvec(&notice).unwrap().len();
+            assert!(bytes <= 1_300, "{bytes} bytes");
+        }
+    }
+    network.run(CONTACT_MS);
+    assert!(network.all_refuse(&[DEADLY]));
+    for process in &network.processes {
+        assert_eq!(process.admission(&prompt[..63]), Admission::Free);
+    }
+}
+
 // All processes lose power together, and only the store knows.
 #[test]
 fn stored_record_refuses_the_part_for_the_time_that_is_left() {
--- a/components/quarantine/tests/single_process.rs
+++ b/components/quarantine/tests/single_process.rs
@@ -37,6 +37,29 @@
     assert_eq!(process.admission(&[SHARED]), Admission::Free);
 }
 
+// Issue 38, review/5: parts after the eighth of a prompt were never candidates, unless the others
+// had been sound.
+#[test]
+fn deadly_part_is_refused_at_any_depth_of_a_prompt() {
+    for depth in [0, 7, 8, 31, 63] {
+        let mut process = Process::start();
+        let prompt: Vec<u64> = (0..64)
+            .map(|part| if part == depth { DEADLY } else { SHARED + part })
+            .collect();
+        let sound: Vec<u64> = prompt
+            .iter()
+            .copied()
+            .filter(|part| *part != DEADLY)
+            .collect();
+        for engine in 0..2 {
+            process.crash(engine, &prompt);
+        }
+        process.sound(&sound);
+        assert!(process.refuses(&[DEADLY]), "depth {depth}");
+        assert_eq!(process.admission(&sound), Admission::Free, "depth {depth}");
+    }
+}
+
 // The part that all crashes have in common may be the first one.
 #[test]
 fn deadly_first_part_is_refused_with_any_part_after_it() {
