--- a/components/quarantine/src/causes.rs
+++ b/components/quarantine/src/causes.rs
@@ -3,9 +3,15 @@
 //! The part that is common to most crashes is taken as their cause, then the next one for the
 //! crashes that are left. So a sound part that often occurs beside a deadly one is not blamed for
 //! its crashes.
+//!
+//! Crashes count against a part only until an answer begins on it again. A part that has been sound
+//! turns deadly the more rarely, the more often it was: its odds are those of a run of crashes by
+//! chance, and each tenfold of sound answers allows one crash more. Calls that are lost at one moment
+//! are one crash for such a part, as they rather have one cause, such as the network of a host.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use smallvec::SmallVec;
@@ -21,9 +27,14 @@
 const WAITING_WEIGHT: usize = 1;
 /// Weight of the crashes of which a part must be the likeliest cause to be quarantined.
 pub(crate) const QUARANTINE_WEIGHT: usize = 3;
-/// Weight of the crashes that a part may be beside that has been sound before, and still not be
-/// suspect. Those of waiting requests do not count for such a part.
-const ALLOWED_WEIGHT_OF_SOUND_PARTS: usize = BEGUN_WEIGHT;
+/// Weight of the crashes in a row that a part may be beside and still not be suspect, for each tenfold
+/// of the answers that it was sound in. Crashes of waiting requests do not count for such a part.
+const ALLOWED_WEIGHT: usize = BEGUN_WEIGHT;
+/// Most tenfolds that count, so that a part that turns deadly is suspect after four crashes.
+const ALLOWED_TENFOLDS: usize = 3;
+/// Time in which losses may have one cause. Resets of connections reach a process together; telling
+/// another process of them takes up to 25 ms.
+const MOMENT_MS: Duration = Duration::from_millis(100);
 
 /// A crash that is attributed to a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,7 +79,8 @@
     part: PartId,
     /// Position in the prompt; a whole request is after all parts.
     depth: usize,
-    was_sound: bool,
+    /// Answers that have begun on the part.
+    sound_count: u32,
     crash: AttributedCrash,
 }
 
@@ -88,7 +100,7 @@
                     crashes.entry(process).or_default().push(Candidate {
                         part: *part,
                         depth: 0,
-                        was_sound: false,
+                        sound_count: evidence.sound_count(*part),
                         crash: *crash,
                     });
                 }
@@ -109,6 +121,9 @@
                 attributed.extend(candidate.map(|candidate| candidate.crash));
                 candidate.is_none()
             });
+            if evidence.sound_count(part) > 0 {
+                keep_one_of_each_moment(&mut attributed);
+            }
             causes.quarantined.insert(part, attributed);
         }
         let weights = weights(&crashes);
@@ -143,7 +158,7 @@
                 candidates.push(Candidate {
                     part,
                     depth,
-                    was_sound: evidence.last_sound(part).is_some(),
+                    sound_count: evidence.sound_count(part),
                     crash: AttributedCrash {
                         process: report.process,
                         at: report.at,
@@ -167,6 +182,7 @@
 
 fn weights(crashes: &Candidates) -> BTreeMap<PartId, Rank> {
     let mut weights: BTreeMap<PartId, Rank> = BTreeMap::new();
+    let mut sound: BTreeMap<PartId, (u32, Crashes)> = BTreeMap::new();
     for candidates in crashes.values() {
         let mut counted = BTreeSet::new();
         for candidate in candidates {
@@ -174,20 +190,39 @@
                 continue;
             }
             let rank = weights.entry(candidate.part).or_default();
+            rank.was_never_sound = candidate.sound_count == 0;
+            rank.depth = rank.depth.max(candidate.depth);
             let is_likely = candidate.crash.is_likely;
-            if is_likely || !candidate.was_sound {
+            if rank.was_never_sound {
                 rank.weight += crash_weight(is_likely);
+            } else if is_likely {
+                let (count, crashes) = sound.entry(candidate.part).or_default();
+                *count = candidate.sound_count;
+                crashes.push(candidate.crash);
             }
-            rank.was_never_sound = !candidate.was_sound;
-            rank.depth = rank.depth.max(candidate.depth);
         }
     }
-    for rank in weights.values_mut().filter(|rank| !rank.was_never_sound) {
-        rank.weight = rank.weight.saturating_sub(ALLOWED_WEIGHT_OF_SOUND_PARTS);
+    for (part, (sound_count, mut crashes)) in sound {
+        keep_one_of_each_moment(&mut crashes);
+        let weight = weight(&crashes).saturating_sub(allowed_weight(sound_count));
+        weights.entry(part).or_default().weight = weight;
     }
     weights
 }
 
+/// Weight of crashes that do not make a part suspect that was sound in this many answers.
+fn allowed_weight(sound_count: u32) -> usize {
+    let tenfolds = sound_count
+        .checked_ilog10()
+        .map_or(0, |log| log as usize + 1);
+    ALLOWED_WEIGHT * tenfolds.min(ALLOWED_TENFOLDS)
+}
+
+fn keep_one_of_each_moment(crashes: &mut Crashes) {
+    crashes.sort_by_key(|crash| crash.at);
+    crashes.dedup_by(|later, earlier| later.at - earlier.at < MOMENT_MS);
+}
+
 fn likeliest(crashes: &Candidates) -> Option<(PartId, usize)> {
     let weights = weights(crashes);
     let likeliest = weights.into_iter().max_by_key(|(_, rank)| *rank)?;
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -182,6 +182,11 @@
         self.sound_parts.record(part, at);
     }
 
+    /// Records that another process tells of an answer on the part, maybe again.
+    pub(crate) fn refresh_sound(&mut self, part: PartId, at: Instant) {
+        self.sound_parts.refresh(part, at);
+    }
+
     pub(crate) fn record_sound_request(&mut self, request: PartId, at: Instant) {
         self.sound_requests.record(request, at);
     }
@@ -192,6 +197,12 @@
         times.into_iter().flatten().max()
     }
 
+    /// Number of answers that are known to have begun on the part, or on the whole request.
+    pub(crate) fn sound_count(&self, part: PartId) -> u32 {
+        let parts = self.sound_parts.count(part);
+        parts.saturating_add(self.sound_requests.count(part))
+    }
+
     /// Whether an answer on the part has begun since a crash.
     pub(crate) fn is_cleared(&self, part: PartId, crashed_at: Instant) -> bool {
         self.last_sound(part)
--- a/components/quarantine/src/exchange.rs
+++ b/components/quarantine/src/exchange.rs
@@ -101,7 +101,7 @@
         }
         for sound in &notice.sound {
             self.evidence
-                .record_sound(sound.part, before(now, sound.age_ms));
+                .refresh_sound(sound.part, before(now, sound.age_ms));
         }
         for crash in notice.crashes {
             let report = CrashReport {
--- a/components/quarantine/tests/common/mod.rs
+++ b/components/quarantine/tests/common/mod.rs
@@ -44,8 +44,17 @@
         self.report(engine, false, parts);
     }
 
+    /// Another engine crashes at the same moment, or another connection is reset.
+    pub fn crash_at_once(&mut self, engine: u64, parts: &[u64]) {
+        self.report_now(engine, true, parts);
+    }
+
     fn report(&mut self, process: u64, is_likely: bool, parts: &[u64]) {
         self.wait(STEP_MS);
+        self.report_now(process, is_likely, parts);
+    }
+
+    fn report_now(&mut self, process: u64, is_likely: bool, parts: &[u64]) {
         let report = CrashReport {
             process,
             at: self.now,
--- a/components/quarantine/tests/single_process.rs
+++ b/components/quarantine/tests/single_process.rs
@@ -60,6 +60,57 @@
     }
 }
 
+// Issue 38, review/1: connections of one gateway were reset together, which looked like crashes of
+// all engines, and the part that all prompts share was refused for an hour.
+#[test]
+fn calls_that_are_lost_at_one_moment_do_not_blame_a_part_in_use() {
+    let mut process = Process::start();
+    for engine in 0..2 {
+        process.sound(&[SHARED]);
+        process.crash(engine, &[SHARED, DEADLY]);
+    }
+    for _ in 0..30 {
+        process.sound(&[SHARED]);
+    }
+    process.wait(seconds(0.01));
+    for engine in 100..112 {
+        process.crash_at_once(engine, &[SHARED]);
+    }
+    assert_eq!(process.admission(&[SHARED]), Admission::Free);
+    assert!(process.refuses(&[DEADLY]));
+}
+
+// Issue 38: engines that crash for their own reasons, with few requests between the crashes, blamed
+// a part that had been served a thousand times as soon as one that had been served once.
+#[test]
+fn part_that_was_served_often_is_not_refused_after_three_crashes_in_a_row() {
+    let mut process = Process::start();
+    for _ in 0..100 {
+        process.sound(&[SHARED]);
+    }
+    for engine in 0..3 {
+        process.crash(engine, &[SHARED]);
+        process.wait(seconds(1.0));
+        assert_eq!(process.admission(&[SHARED]), Admission::Free);
+    }
+}
+
+// A new build of the engines may crash on a part that the build before has served.
+#[test]
+fn part_that_crashes_engines_after_many_answers_is_refused_after_six_crashes() {
+    let mut process = Process::start();
+    for _ in 0..100_000 {
+        process.sound(&[DEADLY]);
+    }
+    let mut crashes = 0;
+    while !process.refuses(&[DEADLY]) {
+        process.wait(seconds(0.5));
+        process.crash(crashes, &[DEADLY]);
+        crashes += 1;
+    }
+    assert!(crashes <= 6, "{crashes} crashes");
+}
+
 // The part that all crashes have in common may be the first one.
 #[test]
 fn deadly_first_part_is_refused_with_any_part_after_it() {
