--- a/components/gateway/src/core/parts.rs
+++ b/components/gateway/src/core/parts.rs
@@ -77,8 +77,9 @@
         (quarantined, self.quarantine.suspect_count())
     }
 
-    /// Applies stored parts. Those that a complete list lacks are stored again, as the store may
-    /// have lost them.
+    /// Applies stored parts. Those that later answers contradict are removed from the store, whose
+    /// writer may not know of these. Those that a complete list lacks are stored again, as the store
+    /// may have lost them.
     pub(super) fn apply_part_records(
         &mut self,
         now: Instant,
@@ -87,6 +88,9 @@
     ) {
         for record in records {
             self.quarantine.receive_record(now, record);
+            if !self.quarantine.is_quarantined(record.part) {
+                self.part_writes.push(PartWrite::Remove(record.part));
+            }
         }
         if is_snapshot {
             let is_stored = |part: &PartId| records.iter().any(|record| record.part == *part);
--- a/components/gateway/tests/query_of_death.rs
+++ b/components/gateway/tests/query_of_death.rs
@@ -13,11 +13,15 @@
 use gateway::core::Core;
 use gateway::core::Decision;
 use gateway::core::Ending;
+use gateway::core::PartWrite;
+use gateway::deployment::DeploymentUpdate;
 use gateway::protocol::CallerRequest;
 use gateway::protocol::PartId;
 use gateway::protocol::PrefillResult;
 use gateway::protocol::PromptPart;
 use gateway::protocol::Step;
+use quarantine::Crash;
+use quarantine::Record;
 
 /// Part that crashes engines.
 const DEADLY: PartId = 0xdead;
@@ -114,6 +118,34 @@
     }
 }
 
+// Issue 38, soak seed 9007: gateways that started obeyed a stored quarantine which the others knew
+// to be wrong, and told it to them again.
+#[test]
+fn stored_quarantine_that_later_answers_contradict_is_removed() {
+    let now = Instant::now();
+    let mut core = core(now);
+    serve(&mut core, now, request("/draft/1", &[SHARED], 1));
+    let crash = |process| Crash {
+        process,
+        age_ms: Duration::from_secs(5),
+        is_likely: true,
+    };
+    let record = |part| Record {
+        part,
+        crashes: (0..3).map(crash).collect(),
+        remaining_ms: Duration::from_mins(10),
+    };
+    let update = DeploymentUpdate::QuarantinedParts {
+        records: vec![record(SHARED), record(DEADLY)],
+        is_snapshot: false,
+    };
+    core.apply_update(now + INTERVAL_MS, update);
+    assert_eq!(core.take_part_writes(), [PartWrite::Remove(SHARED)]);
+    let sound = request("/draft/1", &[SHARED], 2);
+    let (_, decision) = core.start(now + INTERVAL_MS, sound);
+    assert!(matches!(decision, Decision::Call(_)));
+}
+
 // Issue 22: the retries of a resumable stream carried the part to the next engine.
 #[test]
 fn stream_that_no_engine_has_begun_is_not_retried_with_a_suspect_part() {
--- a/components/quarantine/src/exchange.rs
+++ b/components/quarantine/src/exchange.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use smallvec::SmallVec;
-
 use crate::PartId;
 use crate::causes::AttributedCrash;
 use crate::causes::Crashes;
@@ -111,27 +109,30 @@
                 parts: crash.parts.into(),
                 request: crash.request,
             };
-            self.announce_cleared(now, &report);
+            for part in report.possible_causes() {
+                self.tell_if_cleared(now, part, report.at);
+            }
             self.evidence.add(report);
         }
         for record in &notice.quarantined {
+            let last_crash = record.crashes.iter().map(|crash| crash.age_ms).min();
+            if let Some(age_ms) = last_crash {
+                self.tell_if_cleared(now, record.part, before(now, age_ms));
+            }
             self.add_record(now, record);
         }
         self.find_causes(now, false);
     }
 
-    /// Tells others of parts of a report that this process knows to be sound.
-    fn announce_cleared(&mut self, now: Instant, report: &CrashReport) {
-        let is_announced = |part: &PartId| self.recent_sound.iter().any(|(sound, _)| sound == part);
-        let cleared: SmallVec<[PartId; 4]> = report
-            .possible_causes()
-            .filter(|part| self.evidence.is_cleared(*part, report.at) && !is_announced(part))
-            .collect();
-        for part in &cleared {
-            if let Some(at) = self.evidence.last_sound(*part) {
-                self.recent_sound.push((*part, at));
-                self.set_changed(now);
-            }
+    /// Tells others of a part that this process knows to be sound since a crash that they blame it
+    /// for.
+    fn tell_if_cleared(&mut self, now: Instant, part: PartId, crashed_at: Instant) {
+        let mut told = self.recent_sound.iter();
+        if !self.evidence.is_cleared(part, crashed_at) || told.any(|sound| sound.part == part) {
+            return;
+        }
+        if let Some(at) = self.evidence.last_sound(part) {
+            self.tell_sound(now, part, at);
         }
     }
 
@@ -154,9 +155,9 @@
             request: report.request,
         });
         let records = self.entries.keys();
-        let sound = self.recent_sound.iter().map(|(part, at)| SoundNotice {
-            part: *part,
-            age_ms: age(*at),
+        let sound = self.recent_sound.iter().map(|sound| SoundNotice {
+            part: sound.part,
+            age_ms: age(sound.at),
         });
         let (short, long): (Vec<_>, Vec<_>) =
             crashes.partition(|crash| crash.parts.len() <= notice::SHORT_REPORT_PARTS_LIMIT);
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -108,6 +108,16 @@
     }
 }
 
+/// A sound part that others are told of.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SoundPart {
+    pub(crate) part: PartId,
+    /// When an answer on it began.
+    pub(crate) at: Instant,
+    /// Since when others are told.
+    pub(crate) told_since: Instant,
+}
+
 /// Suspect and quarantined prompt parts, as this process knows them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -123,7 +133,7 @@
     pub(crate) own_trials: BTreeSet<PartId>,
     pub(crate) peer_trials: BTreeMap<SenderName, (Instant, Vec<PartId>)>,
     /// Sound parts and live processes to tell others of.
-    pub(crate) recent_sound: Vec<(PartId, Instant)>,
+    pub(crate) recent_sound: Vec<SoundPart>,
     pub(crate) recent_live: Vec<(ProcessKey, Instant)>,
     pub(crate) changed: Option<Instant>,
     pub(crate) is_change_unsent: bool,
@@ -240,7 +250,7 @@
         for (at, part) in parts.iter().enumerate() {
             if self.is_blamed(*part) {
                 has_cleared = true;
-                self.recent_sound.push((*part, now));
+                self.tell_sound(now, *part, now);
             } else if at >= PARTS_LIMIT {
                 continue;
             }
@@ -257,7 +267,7 @@
         let is_blamed = self.is_blamed(request);
         self.evidence.record_sound_request(request, now);
         if is_blamed {
-            self.recent_sound.push((request, now));
+            self.tell_sound(now, request, now);
             self.set_changed(now);
             self.find_causes(now, true);
         }
@@ -283,7 +293,8 @@
             self.find_causes(now, true);
         }
         let is_recent = |at: Instant| now.saturating_duration_since(at) < NOTICE_AGE_MS;
-        self.recent_sound.retain(|(_, at)| is_recent(*at));
+        self.recent_sound
+            .retain(|sound| is_recent(sound.told_since));
         self.recent_live.retain(|(_, at)| is_recent(*at));
         self.peer_trials
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < PEER_TRIALS_LIFETIME_MS);
@@ -305,6 +316,12 @@
         self.entries.keys().copied()
     }
 
+    /// Whether a part is quarantined, also if it is only refused while another request is on trial.
+    #[must_use]
+    pub fn is_quarantined(&self, part: PartId) -> bool {
+        self.entries.contains_key(&part)
+    }
+
     /// Number of parts that are suspect and not quarantined.
     #[must_use]
     pub fn suspect_count(&self) -> usize {
@@ -316,6 +333,16 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Tells others of an answer on a part that began at `at`.
+    pub(crate) fn tell_sound(&mut self, now: Instant, part: PartId, at: Instant) {
+        self.recent_sound.push(SoundPart {
+            part,
+            at,
+            told_since: now,
+        });
+        self.set_changed(now);
+    }
+
     pub(crate) fn set_changed(&mut self, now: Instant) {
         self.changed = Some(now);
         self.is_change_unsent = true;
--- a/components/quarantine/tests/exchange.rs
+++ b/components/quarantine/tests/exchange.rs
@@ -276,6 +276,29 @@
     assert_eq!(changes.iter().filter(quarantined).count(), 0, "{changes:?}");
 }
 
+// Issue 38, soak seeds 9007 and 9015: a process that has just started knows of no answers, and its
+// verdict was kept by those that know them.
+#[test]
+fn quarantine_of_a_process_that_knows_no_answers_is_ended_by_those_that_do() {
+    let mut network = Network::start(3, 7, 0);
+    let now = network.processes[0].now;
+    network.processes[0] = Process::start_at(now, 99);
+    network.cut_off.push(0);
+    for engine in 0..3 {
+        network.processes[0].crash(engine, &[SHARED]);
+    }
+    network.run(seconds(0.5));
+    for process in &mut network.processes[1..] {
+        process.sound(&[SHARED]);
+    }
+    network.run(seconds(6.0));
+    network.cut_off.clear();
+    network.run(CONTACT_MS);
+    for process in &network.processes {
+        assert_eq!(process.admission(&[SHARED]), Admission::Free);
+    }
+}
+
 // Each notice took some time, and the processes extended each other's quarantine by it.
 #[test]
 fn quarantine_is_not_extended_by_notices() {
