--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -430,14 +430,24 @@
         waiting_ms: f64,
         took_ms: f64,
     ) {
-        // After a long wait, `took_ms` depends more on the other prefills than on this one.
-        if waiting_ms >= nominal_ms {
+        let Some(state) = self.targets.get_mut(name) else {
             return;
-        }
-        if let Some(state) = self.targets.get_mut(name) {
-            let own_ms = took_ms - waiting_ms - FIRST_EVENT_MS;
+        };
+        let prefills_ms = took_ms - FIRST_EVENT_MS;
+        if waiting_ms < nominal_ms {
+            let own_ms = prefills_ms - waiting_ms;
             state.prefill_speed.record(nominal_ms, own_ms);
+            return;
         }
+        // An engine that always has a queue has no other samples. After a long wait the time says
+        // more of the other prefills than of this one, so that all are taken as equally slow, and the
+        // sample counts by the share of this one.
+        let expected_ms = nominal_ms * state.slowdown();
+        let share = expected_ms / (waiting_ms + expected_ms);
+        let own_ms = prefills_ms * share;
+        state
+            .prefill_speed
+            .record(nominal_ms * share, own_ms * share);
     }
 
     /// Records that a target answered a call, with whatever status.
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -126,6 +126,21 @@
     );
 }
 
+// Issue 38, review/1: an engine slower than its data sheet that always had a queue was taken for a
+// fast one, and got the work of those that had been measured.
+#[test]
+fn speed_of_an_engine_that_always_has_a_queue_is_measured() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    for _ in 0..100 {
+        let slowdown = fleet.get("write-1").unwrap().slowdown();
+        // Three prefills of 160 ms at nominal speed wait before this one; each takes 400 ms.
+        fleet.record_prefill_time("write-1", 160.0, 3.0 * 160.0 * slowdown, 4.0 * 400.0 + 90.0);
+    }
+    let slowdown = fleet.get("write-1").unwrap().slowdown();
+    assert!((2.3..2.7).contains(&slowdown), "{slowdown}");
+}
+
 #[test]
 fn load_of_a_peer_counts_until_the_peer_times_out() {
     let now = Instant::now();
