--- a/components/quarantine/src/causes.rs
+++ b/components/quarantine/src/causes.rs
@@ -4,10 +4,10 @@
 //! crashes that are left. So a sound part that often occurs beside a deadly one is not blamed for
 //! its crashes.
 //!
-//! Crashes count against a part only until an answer begins on it again. A part that has been sound
-//! turns deadly the more rarely, the more often it was: its odds are those of a run of crashes by
-//! chance, and each tenfold of sound answers allows one crash more. Calls that are lost at one moment
-//! are one crash for such a part, as they rather have one cause, such as the network of a host.
+//! Crashes count against a part only until an answer begins on it again. The more answers a part was
+//! sound in, the likelier is a run of crashes by chance than that the part has turned deadly: each
+//! tenfold of answers allows one more crash in a row. For such a part, calls that are lost at one
+//! moment are one crash, as they are likely to have one cause, such as the network of a host.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
